Run on the users' platform: line protocol, store, discovery, promotion

Cause: the product spoke PostgreSQL to stand-ins only. platform/ translates the users' line protocol, store, discovery and promotion call into the product's messages; decide gains fenced, dialogue, setup and share; the group's task is the crate fenced.

--- /dev/null
+++ b/crates/decide/src/fenced/answers.rs
@@ -0,0 +1,267 @@
+//! What happens on connections.
+
+use goldcrest_types::{
+    ConnectionId, ConnectionNotice, EndpointIx, Floor, Guard, Kind, Mark, Moment, NotRun,
+    OpenError, Opening, Pin, Ran, RequestId, TxState, Verdict,
+};
+
+use super::{
+    Action, Actions, Cluster, Running,
+    members::{Link, LinkState},
+};
+
+/// Tries of a request that endpoints did not run.
+const NOT_RUN_TRIES: u8 = 12;
+
+impl Cluster {
+    pub(super) fn connection(
+        &mut self,
+        link: ConnectionId,
+        notice: ConnectionNotice,
+        now: Moment,
+        out: &mut Actions,
+    ) {
+        let Some(endpoint) = self.owner(link) else {
+            return;
+        };
+        match notice {
+            ConnectionNotice::Opened(mark) => self.opened(endpoint, link, mark, now),
+            ConnectionNotice::OpenFailed(error) => self.open_failed(endpoint, link, error, now),
+            ConnectionNotice::Ran(id, ran) => self.ran(link, id, &ran, now, out),
+            ConnectionNotice::Closed(under_way) => {
+                self.closed(endpoint, link, under_way, now, out);
+            }
+            ConnectionNotice::Probed(mark) => self.probed(endpoint, link, mark, now, out),
+            ConnectionNotice::RolledBack => self.set_link(link, LinkState::Idle(now)),
+            ConnectionNotice::Reported(report) => {
+                self.set_link(link, LinkState::Idle(now));
+                self.note_report(endpoint, report, now);
+            }
+        }
+    }
+
+    fn opened(
+        &mut self,
+        endpoint: EndpointIx,
+        link: ConnectionId,
+        mark: Option<Mark>,
+        now: Moment,
+    ) {
+        self.counts.opened += 1;
+        self.set_link(link, LinkState::Idle(now));
+        if let Some(member) = self.member_mut(endpoint) {
+            member.note_success(mark);
+        }
+    }
+
+    fn open_failed(
+        &mut self,
+        endpoint: EndpointIx,
+        link: ConnectionId,
+        error: OpenError,
+        now: Moment,
+    ) {
+        self.drop_link(link);
+        if error == OpenError::Full {
+            self.counts.full += 1;
+        }
+        let Some(member) = self.member_mut(endpoint) else {
+            return;
+        };
+        match error {
+            OpenError::Full => member.note_full(now),
+            OpenError::Mistaken | OpenError::Unreachable => member.note_failure(now),
+        }
+    }
+
+    fn closed(
+        &mut self,
+        endpoint: EndpointIx,
+        link: ConnectionId,
+        under_way: Option<(RequestId, bool)>,
+        now: Moment,
+        out: &mut Actions,
+    ) {
+        self.counts.lost += 1;
+        self.drop_link(link);
+        if let Some(member) = self.member_mut(endpoint) {
+            member.note_failure(now);
+        }
+        if let Some((id, sent)) = under_way {
+            self.lost(id, sent, now, out);
+        }
+    }
+
+    fn probed(
+        &mut self,
+        endpoint: EndpointIx,
+        link: ConnectionId,
+        mark: Option<Mark>,
+        now: Moment,
+        out: &mut Actions,
+    ) {
+        let asked = self.link(link).and_then(|l| match l.state {
+            LinkState::Own(asked) => Some(asked),
+            _ => None,
+        });
+        self.set_link(link, LinkState::Idle(now));
+        if let Some(member) = self.member_mut(endpoint) {
+            member.note_success(mark);
+        }
+        match mark {
+            Some(mark) => self.proved(endpoint, mark, asked.unwrap_or(now), out),
+            None => self.denied(endpoint, now),
+        }
+    }
+
+    /// Takes in a proof of leadership with the leader's position.
+    fn proved(&mut self, endpoint: EndpointIx, mark: Mark, asked: Moment, out: &mut Actions) {
+        let old = self.samples.newest().map(|(_, newest)| newest.term);
+        if old.is_some_and(|term| mark.term < term) {
+            return;
+        }
+        self.samples.note(asked, mark);
+        if let Some(member) = self.member_mut(endpoint) {
+            member.denied = None;
+        }
+        if self.leader != Some(endpoint) || old != Some(mark.term) {
+            self.leader = Some(endpoint);
+            out.push(Action::Leader(endpoint, mark.term));
+        }
+        self.note_leader(endpoint);
+    }
+
+    fn denied(&mut self, endpoint: EndpointIx, now: Moment) {
+        if let Some(member) = self.member_mut(endpoint) {
+            member.denied = Some(now);
+        }
+        if self.leader == Some(endpoint) {
+            self.forget_leader(now);
+        }
+    }
+
+    fn link(&self, id: ConnectionId) -> Option<&Link> {
+        let mut links = self.members.iter().flat_map(|m| m.links.iter());
+        links.find(|l| l.id == id)
+    }
+
+    fn ran(
+        &mut self,
+        link: ConnectionId,
+        id: RequestId,
+        ran: &Ran,
+        now: Moment,
+        out: &mut Actions,
+    ) {
+        let Some(run) = self.running.remove(&id) else {
+            self.set_link(link, LinkState::Idle(now));
+            return;
+        };
+        let open = ran.tx != TxState::Idle;
+        let state = if open {
+            LinkState::Held(run.lease)
+        } else {
+            LinkState::Idle(now)
+        };
+        self.set_link(link, state);
+        if let Some(member) = self.member_mut(run.endpoint) {
+            member.note_success(ran.mark);
+        }
+        if let (true, Some(mark)) = (ran.led, ran.mark) {
+            self.proved(run.endpoint, mark, run.sent, out);
+        }
+        match &ran.verdict {
+            Verdict::Done => self.done(&run, ran, now, out),
+            Verdict::Failed(_) | Verdict::Refused(_) => deliver(&run, ran, out),
+            Verdict::Busy | Verdict::Behind | Verdict::NotPrimary => {
+                self.not_run(run, ran, now, out);
+            }
+            Verdict::Unconfirmed => {
+                self.denied(run.endpoint, now);
+                self.refuse_unknown(id, "the endpoint was replaced as it answered", out);
+            }
+        }
+    }
+
+    fn done(&mut self, run: &Running, ran: &Ran, now: Moment, out: &mut Actions) {
+        self.counts.answered += 1;
+        if run.ask.head.kind == Kind::Read {
+            match run.guard {
+                Guard::Contains(_) if self.leader != Some(run.endpoint) => {
+                    self.counts.replica += 1;
+                }
+                _ => self.counts.primary += 1,
+            }
+        }
+        if let Some(member) = self.member_mut(run.endpoint) {
+            member.note_service(now.since(run.sent));
+        }
+        deliver(run, ran, out);
+    }
+
+    /// A request that an endpoint did not run is tried again, unless it belongs to a transaction
+    /// that is already open.
+    fn not_run(&mut self, run: Running, ran: &Ran, now: Moment, out: &mut Actions) {
+        let reason = self.note_not_run(&run, &ran.verdict, now);
+        if run.ask.head.pin.is_some() {
+            return deliver(&run, ran, out);
+        }
+        let mut ask = run.ask;
+        ask.tries += 1;
+        ask.cause = reason;
+        if reason == NotRun::Behind && self.leader == Some(run.endpoint) {
+            // The mark was rolled back: only a newer sample tells what the log holds now.
+            ask.since = now;
+        }
+        if ask.tries >= NOT_RUN_TRIES || now >= ask.head.start {
+            return self.refuse_unrun(ask.head.id, reason, out);
+        }
+        out.push(Action::Discard(ask.head.id));
+        self.wait(ask);
+    }
+
+    fn note_not_run(&mut self, run: &Running, verdict: &Verdict, now: Moment) -> NotRun {
+        match verdict {
+            Verdict::NotPrimary => {
+                self.denied(run.endpoint, now);
+                NotRun::NoPrimary
+            }
+            Verdict::Behind => {
+                self.counts.behind += 1;
+                if let (Some(m), Guard::Contains(mark)) = (self.member_mut(run.endpoint), run.guard)
+                {
+                    m.note_behind(mark, now);
+                }
+                NotRun::Behind
+            }
+            _ => {
+                self.counts.busy += 1;
+                if let Some(member) = self.member_mut(run.endpoint) {
+                    member.note_busy(now);
+                }
+                NotRun::Late
+            }
+        }
+    }
+}
+
+/// Passes an answer on to its session.
+fn deliver(run: &Running, ran: &Ran, out: &mut Actions) {
+    let head = &run.ask.head;
+    let single = head.pin.is_none() && run.ask.opening == Opening::None;
+    let wrote = head.kind == Kind::Commit || (head.kind == Kind::Write && single);
+    let floor = match (ran.mark, ran.verdict == Verdict::Done && wrote) {
+        (Some(mark), true) => Floor::At(mark),
+        _ => Floor::Unknown,
+    };
+    let lease = run.lease;
+    let pin = (ran.tx != TxState::Idle).then_some(Pin {
+        endpoint: run.endpoint,
+        lease,
+    });
+    out.push(Action::Deliver {
+        id: head.id,
+        floor,
+        pin,
+    });
+}
--- /dev/null
+++ b/crates/decide/src/fenced/asks.rs
@@ -0,0 +1,185 @@
+//! New requests, and requests that end early.
+
+use goldcrest_types::{
+    EndpointIx, Floor, Guard, Head, Kind, Lease, Mark, Moment, NotRun, Opening, Refusal, RequestId,
+};
+use smallvec::SmallVec;
+
+use super::{Action, Actions, Cluster, Running, Waiting, members::LinkState};
+use crate::attempt::{self, Fate, READ_TRIES};
+
+impl Cluster {
+    pub(super) fn ask(&mut self, head: Head, opening: Opening, now: Moment, out: &mut Actions) {
+        self.budget.earn();
+        if head.kind == Kind::Read {
+            self.read = Some(now);
+        }
+        let ask = Waiting {
+            since: head.arrived.before(head.age.unwrap_or_default()),
+            head,
+            opening,
+            tries: 0,
+            avoid: SmallVec::new(),
+            cause: NotRun::Late,
+        };
+        match ask.head.pin {
+            Some(pin) => self.run_held(ask, pin.endpoint, pin.lease, now, out),
+            None => self.wait(ask),
+        }
+    }
+
+    /// Queues a request by the moment at which it must have started.
+    pub(super) fn wait(&mut self, ask: Waiting) {
+        let at = self
+            .waiting
+            .partition_point(|w| w.head.start <= ask.head.start);
+        self.waiting.insert(at, ask);
+    }
+
+    fn run_held(
+        &mut self,
+        ask: Waiting,
+        endpoint: EndpointIx,
+        lease: Lease,
+        now: Moment,
+        out: &mut Actions,
+    ) {
+        let link = self.member(endpoint).and_then(|m| {
+            let held = m.links.iter().find(|l| l.state == LinkState::Held(lease));
+            held.map(|l| l.id)
+        });
+        let Some(link) = link else {
+            return refuse(ask.head.id, Refusal::TransactionLost, out);
+        };
+        let run = Running {
+            ask,
+            endpoint,
+            link,
+            lease,
+            guard: Guard::None,
+            sent: now,
+        };
+        self.run(run, out);
+    }
+
+    pub(super) fn run(&mut self, run: Running, out: &mut Actions) {
+        let id = run.ask.head.id;
+        self.set_link(run.link, LinkState::Busy(id, run.lease));
+        out.push(Action::Run(run.link, id, run.guard));
+        self.running.insert(id, run);
+    }
+
+    pub(super) fn cancel(&mut self, id: RequestId, out: &mut Actions) {
+        self.waiting.retain(|w| w.head.id != id);
+        if let Some(run) = self.running.remove(&id) {
+            self.drop_link(run.link);
+            out.push(Action::Close(run.link));
+        }
+    }
+
+    /// Ends a transaction that its session gives up.
+    pub(super) fn release(
+        &mut self,
+        endpoint: EndpointIx,
+        lease: Lease,
+        now: Moment,
+        out: &mut Actions,
+    ) {
+        let Some(member) = self.member_mut(endpoint) else {
+            return;
+        };
+        let mut links = member.links.iter_mut();
+        let Some(link) = links.find(|l| l.state == LinkState::Held(lease)) else {
+            return;
+        };
+        link.state = LinkState::Own(now);
+        out.push(Action::Rollback(link.id));
+    }
+
+    /// Ends what has waited or run for too long.
+    pub(super) fn expire(&mut self, now: Moment, out: &mut Actions) {
+        let late = self.waiting.partition_point(|w| w.head.start <= now);
+        let expired: SmallVec<[Waiting; 4]> = self.waiting.drain(..late).collect();
+        for ask in expired {
+            self.refuse_unrun(ask.head.id, ask.cause, out);
+        }
+        let over: SmallVec<[RequestId; 4]> = self
+            .running
+            .iter()
+            .filter(|(_, run)| run.expiry() <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.give_up(id, now, out);
+        }
+    }
+
+    /// Gives up a request that its endpoint has not answered in time.
+    fn give_up(&mut self, id: RequestId, now: Moment, out: &mut Actions) {
+        let Some(run) = self.running.get(&id) else {
+            return;
+        };
+        let (link, endpoint) = (run.link, run.endpoint);
+        self.drop_link(link);
+        out.push(Action::Close(link));
+        if let Some(member) = self.member_mut(endpoint) {
+            member.note_failure(now);
+        }
+        self.lost(id, true, now, out);
+    }
+
+    /// Decides on a request whose connection is gone.
+    pub(super) fn lost(&mut self, id: RequestId, sent: bool, now: Moment, out: &mut Actions) {
+        let Some(run) = self.running.remove(&id) else {
+            return;
+        };
+        let mut ask = run.ask;
+        let fate = match (ask.opening, ask.head.kind) {
+            (Opening::None, _) | (_, Kind::Commit) => attempt::after_loss(&ask.head, sent),
+            // A transaction that was just opened is rolled back with its connection.
+            _ => Fate::Again,
+        };
+        match fate {
+            Fate::Again if now < ask.head.start && self.may_repeat(&ask, sent, now) => {
+                ask.tries += 1;
+                ask.cause = NotRun::Unreachable;
+                ask.avoid.push(run.endpoint);
+                self.wait(ask);
+            }
+            Fate::Again if !sent => self.refuse_unrun(id, NotRun::Unreachable, out),
+            Fate::Again | Fate::Unread => refuse(id, Refusal::Timeout, out),
+            Fate::Unknown => self.refuse_unknown(id, "the endpoint's answer was lost", out),
+            Fate::TransactionLost => refuse(id, Refusal::TransactionLost, out),
+        }
+    }
+
+    fn may_repeat(&mut self, ask: &Waiting, sent: bool, now: Moment) -> bool {
+        ask.tries < READ_TRIES && (!sent || self.budget.spend(now))
+    }
+
+    pub(super) fn refuse_unknown(&mut self, id: RequestId, detail: &str, out: &mut Actions) {
+        self.counts.unknown += 1;
+        let detail = detail.into();
+        refuse(id, Refusal::Unknown { detail }, out);
+    }
+
+    pub(super) fn refuse_unrun(&mut self, id: RequestId, reason: NotRun, out: &mut Actions) {
+        self.counts.refused += 1;
+        let retry = Some(attempt::RETRY_HINT);
+        refuse(id, Refusal::NotRun { reason, retry }, out);
+    }
+
+    /// What a read must contain, if a sample of the leader is recent enough to tell.
+    pub(super) fn read_floor(&self, ask: &Waiting) -> Option<Mark> {
+        let others = self.samples.floor(ask.since)?;
+        Some(match ask.head.floor {
+            Floor::At(own) => others.max(self.samples.current(own)),
+            Floor::Unknown => others,
+        })
+    }
+}
+
+fn refuse(id: RequestId, refusal: Refusal, out: &mut Actions) {
+    out.push(Action::Discard(id));
+    out.push(Action::Refuse(id, refusal));
+}
--- /dev/null
+++ b/crates/decide/src/fenced/members.rs
@@ -0,0 +1,203 @@
+//! What is known of each endpoint, and its connections.
+
+use std::time::Duration;
+
+use goldcrest_types::{ConnectionId, EndpointIx, Lease, Mark, Moment, Name, RequestId};
+use smallvec::SmallVec;
+
+use super::MemberPlan;
+
+/// The service time that an endpoint is taken to need before any is known. Between the mean times
+/// of the kinds of work in use (2.5 to 13 ms).
+const SERVICE_START: Duration = Duration::from_millis(8);
+
+/// A new service time counts one part in this many.
+const SERVICE_WEIGHT: u32 = 8;
+
+/// The first pause before an endpoint that failed is tried again; each failure doubles it.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+
+/// The longest such pause.
+const RETRY_LAST: Duration = Duration::from_millis(800);
+
+/// How long an endpoint that lacked a mark is passed over for reads that need as much.
+const BEHIND_FOR: Duration = Duration::from_millis(40);
+
+/// How long a full endpoint gets no further connection.
+const FULL_FOR: Duration = Duration::from_millis(400);
+
+/// How long an endpoint without a free slot is passed over: about two pieces of work.
+const BUSY_FOR: Duration = Duration::from_millis(25);
+
+/// What a connection does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LinkState {
+    /// It is being set up.
+    Opening,
+    /// It waits for work, since this moment.
+    Idle(Moment),
+    /// It runs a statement.
+    Busy(RequestId, Lease),
+    /// It waits for the next statement of a transaction.
+    Held(Lease),
+    /// It carries a question of the group's own, sent at this moment.
+    Own(Moment),
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Link {
+    pub id: ConnectionId,
+    pub state: LinkState,
+}
+
+/// An endpoint.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// As discovery gives it.
+    pub plan: MemberPlan,
+    /// Its index, which no other endpoint of the group gets.
+    pub ix: EndpointIx,
+    /// The position that it last told.
+    pub mark: Option<Mark>,
+    /// When it was first known to be leaving.
+    pub leaving: Option<Moment>,
+    /// When it last denied that it leads.
+    pub denied: Option<Moment>,
+    pub(super) links: SmallVec<[Link; 4]>,
+    pub(super) service: Duration,
+    pub(super) planned: u32,
+    pub(super) failing: Option<Moment>,
+    failures: u32,
+    retry: Moment,
+    full: Moment,
+    busy: Moment,
+    behind: Option<(Mark, Moment)>,
+}
+
+impl Member {
+    pub(super) fn new(plan: MemberPlan, ix: EndpointIx, now: Moment) -> Self {
+        Self {
+            leaving: plan.leaving.then_some(now),
+            plan,
+            ix,
+            mark: None,
+            denied: None,
+            links: SmallVec::new(),
+            service: SERVICE_START,
+            planned: 0,
+            failing: None,
+            failures: 0,
+            retry: Moment::ZERO,
+            full: Moment::ZERO,
+            busy: Moment::ZERO,
+            behind: None,
+        }
+    }
+
+    /// The endpoint's name.
+    #[must_use]
+    pub fn name(&self) -> &Name {
+        &self.plan.name
+    }
+
+    pub(super) fn renew(&mut self, plan: MemberPlan, now: Moment) {
+        if plan.leads && !self.plan.leads {
+            self.denied = None;
+        }
+        self.leaving = match (plan.leaving, self.leaving) {
+            (false, _) => None,
+            (true, None) => Some(now),
+            (true, since) => since,
+        };
+        self.plan = plan;
+    }
+
+    pub(super) fn link(&mut self, id: ConnectionId) -> Option<&mut Link> {
+        self.links.iter_mut().find(|l| l.id == id)
+    }
+
+    pub(super) fn idle(&self) -> Option<ConnectionId> {
+        let mut links = self.links.iter();
+        let idle = links.find(|l| matches!(l.state, LinkState::Idle(_)));
+        idle.map(|l| l.id)
+    }
+
+    pub(super) fn opening(&self) -> usize {
+        let opening = |l: &&Link| l.state == LinkState::Opening;
+        self.links.iter().filter(opening).count()
+    }
+
+    /// Statements that run here for this host.
+    pub(super) fn running(&self) -> u32 {
+        let busy = |l: &&Link| matches!(l.state, LinkState::Busy(..));
+        u32::try_from(self.links.iter().filter(busy).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Connections that carry work or a transaction.
+    pub(super) fn used(&self) -> u32 {
+        let used = |l: &&Link| matches!(l.state, LinkState::Busy(..) | LinkState::Held(_));
+        u32::try_from(self.links.iter().filter(used).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a further connection may be opened, with at most `share` in all.
+    pub(super) fn has_room(&self, share: usize, now: Moment) -> bool {
+        self.links.len() < share && now >= self.full && self.answers(now)
+    }
+
+    /// Whether the endpoint may be tried.
+    pub(super) fn answers(&self, now: Moment) -> bool {
+        now >= self.retry
+    }
+
+    /// When the endpoint may take more than now.
+    pub(super) fn retry(&self) -> Moment {
+        self.retry.max(self.full).max(self.busy)
+    }
+
+    pub(super) fn lacks(&self, floor: Mark, now: Moment) -> bool {
+        self.behind
+            .is_some_and(|(mark, until)| floor >= mark && now < until)
+    }
+
+    pub(super) fn is_busy(&self, now: Moment) -> bool {
+        now < self.busy
+    }
+
+    pub(super) fn note_success(&mut self, mark: Option<Mark>) {
+        self.failing = None;
+        self.failures = 0;
+        self.retry = Moment::ZERO;
+        if mark.is_some() {
+            self.mark = mark;
+        }
+    }
+
+    pub(super) fn note_service(&mut self, took: Duration) {
+        let own = took.saturating_sub(self.plan.distance * 2);
+        self.service = (self.service * (SERVICE_WEIGHT - 1) + own) / SERVICE_WEIGHT;
+    }
+
+    pub(super) fn note_failure(&mut self, now: Moment) {
+        self.failing = self.failing.or(Some(now));
+        let doubled = RETRY_FIRST * (1 << self.failures.min(3));
+        self.failures += 1;
+        self.retry = now + doubled.min(RETRY_LAST);
+    }
+
+    pub(super) fn note_full(&mut self, now: Moment) {
+        self.full = now + FULL_FOR;
+    }
+
+    pub(super) fn note_busy(&mut self, now: Moment) {
+        self.busy = now + BUSY_FOR;
+    }
+
+    pub(super) fn note_behind(&mut self, floor: Mark, now: Moment) {
+        self.behind = Some((floor, now + BEHIND_FOR));
+    }
+
+    /// The number of failures since the last success.
+    pub(super) fn failures(&self) -> u32 {
+        self.failures
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,7 +4,9 @@
 //! state and returns a short list of actions for a task to carry out.
 
 pub mod attempt;
+pub mod dialogue;
 pub mod fence;
+pub mod fenced;
 pub mod fleet;
 pub mod group;
 pub mod pool;
@@ -12,3 +14,5 @@
 pub mod promote;
 pub mod route;
 pub mod session;
+pub mod setup;
+pub mod share;
--- a/crates/decide/src/pool/mod.rs
+++ b/crates/decide/src/pool/mod.rs
@@ -2,16 +2,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use goldcrest_types::{Lease, RequestId};
+use goldcrest_types::{ConnectionId, Lease, RequestId};
 use smallvec::SmallVec;
 
 /// Connections that may be set up at the same time.
 const OPENING_LIMIT: usize = 2;
 
-/// The number of a connection, unique within its endpoint's pool.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ConnectionId(pub u64);
-
 /// Something for the endpoint's task to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
--- /dev/null
+++ b/crates/decide/src/setup/mod.rs
@@ -0,0 +1,73 @@
+//! Makes a connection fit for a session: which settings to send before a statement.
+
+use goldcrest_types::{Name, Setting};
+use smallvec::SmallVec;
+
+/// Prepared statements that a connection gathers before it is cleared.
+const PREPARED_LIMIT: usize = 32;
+
+/// What is in force on a connection.
+#[derive(Debug, Clone, Default)]
+pub struct Applied(SmallVec<[Setting; 4]>);
+
+/// What to send before a statement.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Changes {
+    /// Whether to clear the connection first.
+    pub reset: bool,
+    /// Prepared names to drop before they are prepared anew.
+    pub drop: SmallVec<[Name; 2]>,
+    /// Statements that bring the settings in force.
+    pub apply: SmallVec<[Name; 2]>,
+}
+
+impl Applied {
+    /// Brings `wanted` in force, with exactly its values. `held` tells that a transaction is open,
+    /// in which a connection can't be cleared.
+    pub fn change(&mut self, wanted: &[Setting], held: bool) -> Changes {
+        let mut changes = Changes {
+            reset: !held && self.must_reset(wanted),
+            ..Changes::default()
+        };
+        if changes.reset {
+            self.0.clear();
+        }
+        for setting in wanted {
+            if !self.0.contains(setting) {
+                self.apply(setting, &mut changes);
+            }
+        }
+        changes
+    }
+
+    fn must_reset(&self, wanted: &[Setting]) -> bool {
+        let foreign = |s: &Setting| match s {
+            Setting::Value(name, _) => !wanted
+                .iter()
+                .any(|w| matches!(w, Setting::Value(other, _) if other == name)),
+            Setting::Prepared(..) => false,
+        };
+        self.0.len() > PREPARED_LIMIT || self.0.iter().any(foreign)
+    }
+
+    fn apply(&mut self, setting: &Setting, changes: &mut Changes) {
+        let known = self.0.iter().position(|s| same_name(s, setting));
+        if let Some(at) = known {
+            let old = self.0.remove(at);
+            if let Setting::Prepared(name, _) = old {
+                changes.drop.push(name);
+            }
+        }
+        self.0.push(setting.clone());
+        let (Setting::Value(_, text) | Setting::Prepared(_, text)) = setting;
+        changes.apply.push(text.clone());
+    }
+}
+
+fn same_name(a: &Setting, b: &Setting) -> bool {
+    match (a, b) {
+        (Setting::Value(a, _), Setting::Value(b, _))
+        | (Setting::Prepared(a, _), Setting::Prepared(b, _)) => a == b,
+        _ => false,
+    }
+}
--- a/crates/endpoints/src/connection.rs
+++ b/crates/endpoints/src/connection.rs
@@ -4,8 +4,7 @@
 
 use flume::{Receiver, Sender};
 use futures_util::{FutureExt, pin_mut, select_biased};
-use goldcrest_decide::pool::ConnectionId;
-use goldcrest_types::{Answer, Name, Request, RequestId, TxState};
+use goldcrest_types::{Answer, ConnectionId, Name, Request, RequestId, TxState};
 use smallvec::SmallVec;
 use spdlog::debug;
 
--- a/crates/endpoints/src/tender.rs
+++ b/crates/endpoints/src/tender.rs
@@ -7,8 +7,10 @@
 
 use flume::{Receiver, Sender};
 use futures_util::{FutureExt, pin_mut, select_biased};
-use goldcrest_decide::pool::{Action, Actions, ConnectionId, Pool};
-use goldcrest_types::{EndpointCommand, EndpointIx, EndpointNotice, Lease, Request, RequestId};
+use goldcrest_decide::pool::{Action, Actions, Pool};
+use goldcrest_types::{
+    ConnectionId, EndpointCommand, EndpointIx, EndpointNotice, Lease, Request, RequestId,
+};
 
 use crate::{
     EndpointTarget, check,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,7 +1,6 @@
 //! One host: its groups, its front towards callers, and the steward that joins it to the fleet.
 
 mod admit;
-mod clock;
 mod error;
 mod group;
 mod host;
@@ -10,8 +9,8 @@
 mod steward;
 
 pub use crate::{
-    clock::Clock,
     error::HostError,
     host::{Host, start},
 };
+pub use goldcrest_clock::Clock;
 pub use goldcrest_peers::Timer;
--- /dev/null
+++ b/crates/stream/src/lib.rs
@@ -0,0 +1,146 @@
+//! A TCP socket with a read buffer, shared by every protocol that the proxy speaks.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use compio::{
+    BufResult,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+use socket2::{SockRef, TcpKeepalive};
+
+/// The room that a read asks for, in bytes.
+const READ_BYTES: usize = 4096;
+
+/// How long a quiet peer is trusted before the kernel probes it. One second is TCP's finest step.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// The time between two probes of a quiet peer.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long sent data or a probe may stay unacknowledged. Ten round trips across regions, and
+/// less than the shortest statement timeout in use (800 ms).
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(700);
+
+/// One socket with its read buffer.
+#[derive(Debug)]
+pub struct Stream {
+    socket: TcpStream,
+    inbox: BytesMut,
+}
+
+impl Stream {
+    /// Wraps a connected socket.
+    ///
+    /// # Errors
+    ///
+    /// When the socket refuses its options.
+    pub fn new(socket: TcpStream) -> io::Result<Self> {
+        socket.set_nodelay(true)?;
+        Ok(Self {
+            socket,
+            inbox: BytesMut::new(),
+        })
+    }
+
+    /// Connects within `limit` and detects a silent peer from then on.
+    ///
+    /// # Errors
+    ///
+    /// When the peer refuses or does not answer in time.
+    pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        Self::guarded(connect(address, limit).await?)
+    }
+
+    /// Wraps a connected socket, and detects a silent peer from then on.
+    ///
+    /// # Errors
+    ///
+    /// When the socket refuses its options.
+    pub fn guarded(socket: TcpStream) -> io::Result<Self> {
+        detect_silence(&socket)?;
+        Self::new(socket)
+    }
+
+    /// Waits until the socket has something to read. Dropping the wait loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// When the socket failed.
+    pub async fn ready(&self) -> io::Result<()> {
+        let fd = self.socket.to_poll_fd()?;
+        fd.read_ready().await?;
+        Ok(())
+    }
+
+    /// Reads what the socket has. Returns false at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// When the socket failed.
+    pub async fn fill(&mut self) -> io::Result<bool> {
+        let mut buf = std::mem::take(&mut self.inbox);
+        buf.reserve(READ_BYTES);
+        let BufResult(read, buf) = self.socket.append(buf).await;
+        self.inbox = buf;
+        Ok(read? > 0)
+    }
+
+    /// Writes bytes.
+    ///
+    /// # Errors
+    ///
+    /// When the socket failed.
+    pub async fn send(&mut self, bytes: Bytes) -> io::Result<()> {
+        let BufResult(sent, _) = self.socket.write_all(bytes).await;
+        sent
+    }
+
+    /// Reads and drops what the other side still sends, until it closes.
+    ///
+    /// A socket that is closed with unread bytes takes its last message with it.
+    pub async fn drain(&mut self) {
+        while matches!(self.fill().await, Ok(true)) {
+            self.inbox.clear();
+        }
+    }
+
+    /// The bytes that were read and not yet taken.
+    pub fn inbox(&mut self) -> &mut BytesMut {
+        &mut self.inbox
+    }
+
+    /// Gives back the read buffer of an idle socket.
+    pub fn release(&mut self) {
+        if self.inbox.is_empty() {
+            self.inbox = BytesMut::new();
+        }
+    }
+}
+
+/// Opens a socket within `limit`.
+///
+/// # Errors
+///
+/// When the peer refuses or does not answer in time.
+pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    timeout(limit, TcpStream::connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+/// Lets the kernel end a connection whose peer no longer answers.
+///
+/// # Errors
+///
+/// When the socket refuses its options.
+pub fn detect_silence(socket: &TcpStream) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL);
+    let socket = SockRef::from(socket);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+}
--- a/crates/types/src/channel.rs
+++ b/crates/types/src/channel.rs
@@ -9,11 +9,11 @@
     Term,
 };
 
-/// A message from a session to its group.
+/// A message from a session to its group. `R` is the form of request that the front speaks.
 #[derive(Debug, Clone)]
-pub enum SessionAsk {
+pub enum SessionAsk<R = Request> {
     /// Run a request and reply to the sender.
-    Run(Arc<Request>, Sender<Reply>),
+    Run(Arc<R>, Sender<Reply>),
     /// Cancel a request.
     Cancel(RequestId),
     /// A session ended inside a transaction.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod moment;
 pub mod names;
 pub mod request;
+pub mod statement;
 
 pub use crate::{
     answer::{Answer, NotRun, Outcome, Refusal, Reply, TxState},
@@ -20,4 +21,8 @@
     moment::Moment,
     names::Name,
     request::{Class, Head, Kind, Request},
+    statement::{
+        ConnectionCommand, ConnectionId, ConnectionNotice, Guard, OpenError, Opening, Ran,
+        Received, Setting, Statement, StoreError, StoreNotice, SuccessionCommand, Verdict,
+    },
 };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,19 +8,13 @@
 use std::io;
 
 use bytes::{Bytes, BytesMut};
-use compio::{
-    BufResult,
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
+use compio::net::TcpStream;
+use goldcrest_stream::Stream;
 use pgwire::error::PgWireError;
 use thiserror::Error;
 
 pub use crate::frame::{Frame, columns, encode_back, encode_front, error_frame, guarded};
 
-/// The room that a read asks for, in bytes.
-const READ_BYTES: usize = 4096;
-
 /// The length of a message's tag and length field, in bytes.
 const HEADER_BYTES: usize = 5;
 
@@ -52,8 +46,7 @@
 /// One socket with its read buffer.
 #[derive(Debug)]
 pub struct Wire {
-    stream: TcpStream,
-    inbox: BytesMut,
+    stream: Stream,
     limit: usize,
 }
 
@@ -63,13 +56,9 @@
     /// # Errors
     ///
     /// [`WireError::Io`] when the socket refuses its options.
-    pub fn new(stream: TcpStream, limit: usize) -> Result<Self, WireError> {
-        stream.set_nodelay(true)?;
-        Ok(Self {
-            stream,
-            inbox: BytesMut::new(),
-            limit,
-        })
+    pub fn new(socket: TcpStream, limit: usize) -> Result<Self, WireError> {
+        let stream = Stream::new(socket)?;
+        Ok(Self { stream, limit })
     }
 
     /// Waits until the socket has something to read. Dropping the wait loses nothing.
@@ -78,9 +67,7 @@
     ///
     /// [`WireError::Io`] when the socket failed.
     pub async fn ready(&self) -> Result<(), WireError> {
-        let fd = self.stream.to_poll_fd()?;
-        fd.read_ready().await?;
-        Ok(())
+        Ok(self.stream.ready().await?)
     }
 
     /// Reads what the socket has.
@@ -89,14 +76,10 @@
     ///
     /// [`WireError::Closed`] at the end of the stream, [`WireError::Io`] when the socket failed.
     pub async fn fill(&mut self) -> Result<(), WireError> {
-        let mut buf = std::mem::take(&mut self.inbox);
-        buf.reserve(READ_BYTES);
-        let BufResult(read, buf) = self.stream.append(buf).await;
-        self.inbox = buf;
-        if read? == 0 {
-            return Err(WireError::Closed);
+        if self.stream.fill().await? {
+            return Ok(());
         }
-        Ok(())
+        Err(WireError::Closed)
     }
 
     /// Cuts the next whole message out of what was read.
@@ -108,11 +91,12 @@
         let Some(size) = self.next_size()? else {
             return Ok(None);
         };
-        if self.inbox.len() < size {
+        let inbox = self.stream.inbox();
+        if inbox.len() < size {
             return Ok(None);
         }
-        let bytes = self.inbox.split_to(size).freeze();
-        self.release();
+        let bytes = inbox.split_to(size).freeze();
+        self.stream.release();
         Ok(Some(Frame::new(bytes)))
     }
 
@@ -136,33 +120,23 @@
     ///
     /// [`WireError::Io`] when the socket failed.
     pub async fn send(&mut self, bytes: Bytes) -> Result<(), WireError> {
-        let BufResult(sent, _) = self.stream.write_all(bytes).await;
-        Ok(sent?)
+        Ok(self.stream.send(bytes).await?)
     }
 
     /// Reads and drops what the other side still sends, until it closes.
     ///
     /// A socket that is closed with unread bytes takes its last message with it.
     pub async fn drain(&mut self) {
-        while self.fill().await.is_ok() {
-            self.inbox.clear();
-        }
+        self.stream.drain().await;
     }
 
     /// The bytes that were read and not yet taken, for start-up messages that have no tag.
     pub fn inbox(&mut self) -> &mut BytesMut {
-        &mut self.inbox
-    }
-
-    /// Gives back the read buffer of an idle socket.
-    fn release(&mut self) {
-        if self.inbox.is_empty() {
-            self.inbox = BytesMut::new();
-        }
+        self.stream.inbox()
     }
 
-    fn next_size(&self) -> Result<Option<usize>, WireError> {
-        let Some(length) = self.inbox.get(1..HEADER_BYTES) else {
+    fn next_size(&mut self) -> Result<Option<usize>, WireError> {
+        let Some(length) = self.stream.inbox().get(1..HEADER_BYTES) else {
             return Ok(None);
         };
         let mut field = [0; 4];
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod demo;
 #[cfg(feature = "demo")]
 mod fault;
+mod platform;
 mod serve;
 mod show;
 
@@ -26,6 +27,7 @@
 pub fn run(command: Command) -> anyhow::Result<()> {
     match command {
         Command::Serve(options) => serve::run(&options),
+        Command::Platform(options) => platform::run(&options),
         Command::Check(options) => check::run(&options),
         Command::Status(options) => show::status(&options),
         Command::Audit(options) => show::audit(&options),
--- /dev/null
+++ b/src/commands/platform.rs
@@ -0,0 +1,25 @@
+//! Runs one host on the users' platform.
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+use goldcrest_observe::{LogForm, start_logs};
+
+use crate::options::{PlatformOptions, UsageError};
+
+/// The variable in which the platform names its settings file.
+const SETTINGS_VARIABLE: &str = "GOLDCRESTUSHER_CONFIG";
+
+/// Serves until a signal stops the host.
+pub fn run(options: &PlatformOptions) -> anyhow::Result<()> {
+    start_logs(LogForm::Json, &options.log).context("starting the log")?;
+    let path = match &options.settings {
+        Some(path) => PathBuf::from(path),
+        None => std::env::var_os(SETTINGS_VARIABLE)
+            .map(PathBuf::from)
+            .ok_or_else(|| UsageError(format!("give --settings, or set {SETTINGS_VARIABLE}")))?,
+    };
+    let runtime = compio::runtime::Runtime::new().context("starting the runtime")?;
+    runtime.block_on(goldcrest_adapter::serve::run(&path))?;
+    Ok(())
+}
--- a/src/options.rs
+++ b/src/options.rs
@@ -36,6 +36,9 @@
     /// Run one host.
     #[options(help = "run one host")]
     Serve(ServeOptions),
+    /// Run one host on the users' platform.
+    #[options(help = "run one host on the users' platform")]
+    Platform(PlatformOptions),
     /// Check a settings file.
     #[options(help = "check a settings file")]
     Check(CheckOptions),
@@ -81,6 +84,28 @@
     pub settings: String,
 }
 
+/// Runs one host on the users' platform until a signal stops it.
+#[derive(Debug, Options)]
+pub struct PlatformOptions {
+    /// Show help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The platform's settings file.
+    #[options(
+        meta = "FILE",
+        help = "the platform's settings file, else the one that GOLDCRESTUSHER_CONFIG names"
+    )]
+    pub settings: Option<String>,
+    /// The least severe log level that is written.
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        default = "info",
+        help = "the least severe log level that is written: error, warn, info or debug"
+    )]
+    pub log: String,
+}
+
 /// Checks a settings file and tells all its faults.
 #[derive(Debug, Options)]
 pub struct CheckOptions {
