--- a/crates/bench/src/decisions.rs
+++ b/crates/bench/src/decisions.rs
@@ -123,7 +123,7 @@
 fn head(id: RequestId, now: Moment) -> Head {
     Head {
         id,
-        department: Name::from("orders"),
+        workspace: Name::from("orders"),
         kind: Kind::Read,
         class: Class::Short,
         floor: Floor::At(Mark::new(1, 100)),
--- a/crates/callers/src/accept.rs
+++ b/crates/callers/src/accept.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     CallerError, Control, Front,
-    hello::{self, Greeted, Hello},
     session::{self, Key, Order},
+    startup::{self, Greeted, Hello},
 };
 
 /// A message from a connection's task.
@@ -89,10 +89,10 @@
         let front = self.front.clone();
         let words = self.words.clone();
         compio::runtime::spawn(async move {
-            match hello::greet(stream, &front).await {
-                Ok(hello) => {
+            match startup::greet(stream, &front).await {
+                Ok(started) => {
                     // The accepting task ends only with its host.
-                    let _ = words.send(Word::Greeted(hello));
+                    let _ = words.send(Word::Greeted(started));
                 }
                 Err(error) => debug!("a caller was not admitted: {}", error),
             }
@@ -120,7 +120,7 @@
     fn open(&mut self, mut greeted: Greeted) {
         if let Some(error) = self.refusal() {
             compio::runtime::spawn(async move {
-                hello::refuse(&mut greeted.wire, &error).await;
+                startup::refuse(&mut greeted.wire, &error).await;
             })
             .detach();
             return;
--- a/crates/callers/src/error.rs
+++ b/crates/callers/src/error.rs
@@ -14,10 +14,10 @@
     #[error(transparent)]
     Change(#[from] ChangeError),
     /// The account or its password is wrong.
-    #[error("authentication failed for department \"{0}\"")]
+    #[error("authentication failed for workspace \"{0}\"")]
     Account(String),
-    /// The department may not use the database.
-    #[error("department \"{0}\" may not use database \"{1}\"")]
+    /// The workspace may not use the database.
+    #[error("workspace \"{0}\" may not use database \"{1}\"")]
     Database(String, String),
     /// There is no such database.
     #[error("database \"{0}\" does not exist")]
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -7,12 +7,12 @@
 mod batch;
 mod classify;
 mod error;
-mod hello;
 mod local;
 mod query;
 mod refusals;
 mod rewrite;
 mod session;
+mod startup;
 mod token;
 
 use std::{rc::Rc, time::Duration};
@@ -31,16 +31,16 @@
 /// Why a caller is not admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Denied {
-    /// There is no such department, or its password is wrong.
+    /// There is no such workspace, or its password is wrong.
     Account,
-    /// The department may not use the database.
+    /// The workspace may not use the database.
     Database,
 }
 
 /// Finds the group of a database by its name.
 pub type FindGroup = Rc<dyn Fn(&str) -> Option<Sender<SessionAsk>>>;
 
-/// Admits a department with its password to a database.
+/// Admits a workspace with its password to a database.
 pub type Admit = Rc<dyn Fn(&str, &str, Option<&str>) -> Result<(), Denied>>;
 
 /// What the front needs of its host.
@@ -48,9 +48,9 @@
 pub struct Front {
     /// Finds the group of a database.
     pub find: FindGroup,
-    /// Admits a department with its password to a database.
+    /// Admits a workspace with its password to a database.
     pub admit: Admit,
-    /// Whether a department needs a password.
+    /// Whether a workspace needs a password.
     pub guarded: Rc<dyn Fn(&str) -> bool>,
     /// The host's clock.
     pub now: Rc<dyn Fn() -> Moment>,
--- a/crates/callers/src/local.rs
+++ b/crates/callers/src/local.rs
@@ -23,8 +23,8 @@
 pub(crate) fn change(task: &mut Task, name: &str, value: &str) -> Result<(), CallerError> {
     let change = match name {
         "session" => {
-            let department = &task.state.department;
-            Change::Floors(task.front.signer.read(department, value)?)
+            let workspace = &task.state.workspace;
+            Change::Floors(task.front.signer.read(workspace, value)?)
         }
         "max_age_ms" => Change::Age(age(value)?),
         "request_id" => Change::Repeat(request_id(value)?),
--- a/crates/callers/src/session.rs
+++ b/crates/callers/src/session.rs
@@ -20,8 +20,8 @@
 use crate::{
     CallerError, Front,
     batch::{Batch, Statements},
-    hello::{self, Greeted},
     local, refusals,
+    startup::{self, Greeted},
 };
 
 /// How long a session that ends waits for its caller to close.
@@ -83,7 +83,7 @@
     };
     let mut task = Task {
         wire: greeted.wire,
-        state: Session::new(greeted.department, greeted.database),
+        state: Session::new(greeted.workspace, greeted.database),
         statements: Statements::new(front.bounds.prepared),
         front,
         batch: Batch::default(),
@@ -98,7 +98,7 @@
     if let Err(error) = task.serve(greeted.options, key).await {
         debug!("session {} ended: {}", number, error);
         if error.is_fatal() {
-            hello::refuse(&mut task.wire, &error).await;
+            startup::refuse(&mut task.wire, &error).await;
             // The caller may be sending its next request right now, and must see the reason.
             let _ = timeout(DRAIN_LIMIT, task.wire.drain()).await;
         }
@@ -262,7 +262,7 @@
     /// The session's token.
     pub(crate) fn token(&self) -> String {
         let signer = &self.front.signer;
-        signer.sign(&self.state.department, self.state.floors())
+        signer.sign(&self.state.workspace, self.state.floors())
     }
 
     async fn ask(&mut self, work: Work) -> Reply {
@@ -333,7 +333,7 @@
         };
         let head = Head {
             id: self.numbers.take(),
-            department: self.state.department.clone(),
+            workspace: self.state.workspace.clone(),
             kind: work.kind,
             class,
             floor: self.state.floor(),
--- a/crates/callers/src/hello.rs
+++ b/crates/callers/src/startup.rs
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct Greeted {
     pub wire: Wire,
-    pub department: Name,
+    pub workspace: Name,
     pub database: Name,
     /// Settings from the start-up options.
     pub options: Vec<(String, String)>,
@@ -48,12 +48,12 @@
     match result {
         Ok(Talk::Cancel(pid, secret)) => Ok(Hello::Cancel(pid, secret)),
         Ok(Talk::Session {
-            department,
+            workspace,
             database,
             options,
         }) => Ok(Hello::Session(Box::new(Greeted {
             wire,
-            department,
+            workspace,
             database,
             options,
         }))),
@@ -75,7 +75,7 @@
 enum Talk {
     Cancel(i32, i32),
     Session {
-        department: Name,
+        workspace: Name,
         database: Name,
         options: Vec<(String, String)>,
     },
@@ -126,24 +126,24 @@
 
 async fn admit(wire: &mut Wire, front: &Front, startup: &Startup) -> Result<Talk, CallerError> {
     let parameter = |name: &str| startup.parameters.get(name).map(String::as_str);
-    let department = parameter("user").unwrap_or_default().to_owned();
-    let database = parameter("database").unwrap_or(&department).to_owned();
+    let workspace = parameter("user").unwrap_or_default().to_owned();
+    let database = parameter("database").unwrap_or(&workspace).to_owned();
     let options = options(parameter("options").unwrap_or_default());
-    let password = if (front.guarded)(&department) {
+    let password = if (front.guarded)(&workspace) {
         Some(ask_password(wire).await?)
     } else {
         None
     };
-    match (front.admit)(&department, &database, password.as_deref()) {
-        Err(Denied::Account) => return Err(CallerError::Account(department)),
-        Err(Denied::Database) => return Err(CallerError::Database(department, database)),
+    match (front.admit)(&workspace, &database, password.as_deref()) {
+        Err(Denied::Account) => return Err(CallerError::Account(workspace)),
+        Err(Denied::Database) => return Err(CallerError::Database(workspace, database)),
         Ok(()) => {}
     }
     if (front.find)(&database).is_none() {
         return Err(CallerError::NoDatabase(database));
     }
     Ok(Talk::Session {
-        department: Name::from(department),
+        workspace: Name::from(workspace),
         database: Name::from(database),
         options,
     })
--- a/crates/callers/src/token.rs
+++ b/crates/callers/src/token.rs
@@ -1,4 +1,4 @@
-//! Session tokens: the floors of a session, signed for its department.
+//! Session tokens: the floors of a session, signed for its workspace.
 
 use goldcrest_decide::session::ChangeError;
 use goldcrest_types::{Mark, Name};
@@ -25,30 +25,30 @@
         Self { secret }
     }
 
-    /// The token of a department's session: `database=term:position` pairs and a signature.
+    /// The token of a workspace's session: `database=term:position` pairs and a signature.
     #[must_use]
-    pub fn sign(&self, department: &str, floors: &[(Name, Mark)]) -> String {
+    pub fn sign(&self, workspace: &str, floors: &[(Name, Mark)]) -> String {
         let pairs: Vec<String> = floors
             .iter()
             .map(|(name, m)| format!("{name}={}:{}", m.term.0, m.position.0))
             .collect();
         let text = pairs.join(",");
-        let mac = self.mac(department, &text).finalize().into_bytes();
+        let mac = self.mac(workspace, &text).finalize().into_bytes();
         format!("{text}/{}", hex::encode(&mac[..SIGNATURE_BYTES]))
     }
 
-    /// Reads a token that was signed for `department`.
+    /// Reads a token that was signed for `workspace`.
     ///
     /// # Errors
     ///
-    /// [`ChangeError::InvalidToken`] when the token was changed, or belongs to another department.
-    pub fn read(&self, department: &str, token: &str) -> Result<Floors, ChangeError> {
+    /// [`ChangeError::InvalidToken`] when the token was changed, or belongs to another workspace.
+    pub fn read(&self, workspace: &str, token: &str) -> Result<Floors, ChangeError> {
         let (text, signature) = token.rsplit_once('/').ok_or(ChangeError::InvalidToken)?;
         let signature = hex::decode(signature).map_err(|_| ChangeError::InvalidToken)?;
         if signature.len() != SIGNATURE_BYTES {
             return Err(ChangeError::InvalidToken);
         }
-        self.mac(department, text)
+        self.mac(workspace, text)
             .verify_truncated_left(&signature)
             .map_err(|_| ChangeError::InvalidToken)?;
         let pairs = text.split(',').filter(|p| !p.is_empty());
@@ -57,14 +57,14 @@
             .collect()
     }
 
-    fn mac(&self, department: &str, text: &str) -> Hmac<Sha256> {
-        // The length goes first, so that no two pairs of department and text are signed alike.
-        let length = department.len() as u64;
+    fn mac(&self, workspace: &str, text: &str) -> Hmac<Sha256> {
+        // The length goes first, so that no two pairs of workspace and text are signed alike.
+        let length = workspace.len() as u64;
         let keyed: Hmac<Sha256> = Mac::new_from_slice(self.secret.as_bytes())
             .unwrap_or_else(|_| Mac::new(&hmac::digest::Key::<Hmac<Sha256>>::default()));
         keyed
             .chain_update(length.to_be_bytes())
-            .chain_update(department.as_bytes())
+            .chain_update(workspace.as_bytes())
             .chain_update(text.as_bytes())
     }
 }
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -51,11 +51,11 @@
 impl Members {
     /// A host that knows nobody else.
     #[must_use]
-    pub fn new(name: Name, place: Name, address: SocketAddr, incarnation: u64, seed: u64) -> Self {
+    pub fn new(name: Name, zone: Name, address: SocketAddr, incarnation: u64, seed: u64) -> Self {
         Self {
             own: News {
                 name,
-                place,
+                zone,
                 address,
                 incarnation,
                 health: Health::Live,
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -66,7 +66,7 @@
     /// The host.
     pub name: Name,
     /// Where it stands.
-    pub place: Name,
+    pub zone: Name,
     /// Where its peers connect.
     pub address: SocketAddr,
     /// The number that only the host itself raises, to contradict others.
--- a/crates/decide/src/group/asked.rs
+++ b/crates/decide/src/group/asked.rs
@@ -5,7 +5,7 @@
 };
 use smallvec::SmallVec;
 
-use super::{Action, Actions, Group, Parked, Sent, Wait};
+use super::{Action, Actions, Group, Sent, Wait, Waiting};
 use crate::{
     attempt::RETRY_HINT,
     route::{self, CATCH_UP_LIMIT, Candidate, Choice, Gate, Need, Route},
@@ -32,16 +32,16 @@
 
     fn place_read(&mut self, head: Head, tries: u8, now: Moment, out: &mut Actions) {
         let Floor::At(floor) = head.floor else {
-            return self.park(head, tries, Wait::Floor { since: now }, out);
+            return self.enqueue(head, tries, Wait::Floor { since: now }, out);
         };
         if self.history.survival(floor) == Survival::Lost {
             return refuse_lost(head.id, floor, out);
         }
         let Some(floors) = self.floors(&head, floor) else {
-            return self.park(head, tries, Wait::Age { since: now }, out);
+            return self.enqueue(head, tries, Wait::Age { since: now }, out);
         };
-        let patient = now.since(head.arrived) < CATCH_UP_LIMIT;
-        let route = self.route(floors, patient);
+        let may_wait = now.since(head.arrived) < CATCH_UP_LIMIT;
+        let route = self.route(floors, may_wait);
         match route.choice {
             Choice::Serve(ix) => {
                 self.note_allowed(ix, &route);
@@ -49,13 +49,13 @@
                 let lease = Lease(head.id.0);
                 self.send(head, ix, lease, tries, out);
             }
-            Choice::Wait | Choice::Nobody => self.park(head, tries, Wait::Endpoint, out),
+            Choice::Wait | Choice::Nobody => self.enqueue(head, tries, Wait::Endpoint, out),
         }
     }
 
     fn place_begin(&mut self, head: Head, tries: u8, now: Moment, out: &mut Actions) {
         let Floor::At(floor) = head.floor else {
-            return self.park(head, tries, Wait::Floor { since: now }, out);
+            return self.enqueue(head, tries, Wait::Floor { since: now }, out);
         };
         if self.history.survival(floor) == Survival::Lost {
             return refuse_lost(head.id, floor, out);
@@ -65,7 +65,7 @@
             view.is_some_and(|v| self.history.covers(v.mark, floor))
         });
         let Some(ix) = fresh else {
-            return self.park(head, tries, Wait::Primary, out);
+            return self.enqueue(head, tries, Wait::Primary, out);
         };
         let lease = Lease(head.id.0);
         self.send(head, ix, lease, tries, out);
@@ -78,7 +78,7 @@
             return refuse_lost(head.id, floor, out);
         }
         let Some(ix) = self.writable() else {
-            return self.park(head, tries, Wait::Primary, out);
+            return self.enqueue(head, tries, Wait::Primary, out);
         };
         let lease = Lease(head.id.0);
         self.send(head, ix, lease, tries, out);
@@ -94,11 +94,11 @@
         Some(floors)
     }
 
-    pub(super) fn route(&self, floors: SmallVec<[Mark; 2]>, patient: bool) -> Route {
+    pub(super) fn route(&self, floors: SmallVec<[Mark; 2]>, may_wait: bool) -> Route {
         let need = Need {
             floors,
             history: &self.history,
-            patient,
+            may_wait,
         };
         let candidates: SmallVec<[Candidate; 4]> = self.candidates().collect();
         route::choose(&candidates, &need, self.turn)
@@ -155,11 +155,11 @@
         }
     }
 
-    fn park(&mut self, head: Head, tries: u8, wait: Wait, out: &mut Actions) {
+    fn enqueue(&mut self, head: Head, tries: u8, wait: Wait, out: &mut Actions) {
         if tries >= crate::attempt::READ_TRIES {
             return self.refuse(&head, NotRun::Behind, out);
         }
-        self.parked.insert(head.id, Parked { head, wait, tries });
+        self.waiting.insert(head.id, Waiting { head, wait, tries });
     }
 
     pub(super) fn refuse(&mut self, head: &Head, reason: NotRun, out: &mut Actions) {
--- a/crates/decide/src/group/checks.rs
+++ b/crates/decide/src/group/checks.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Action, Actions, CHECK_LIMIT, Group, PROBE_EVERY, PROBE_STAND_IN, PROBE_SUSPECT, STEP_EVERY,
-    USED_FOR, parked::Wait,
+    USED_FOR, waiting::Wait,
 };
 use crate::fence::{Round, is_primary};
 
@@ -65,7 +65,7 @@
         self.expire_rounds(now);
         self.expire_sent(now, out);
         self.settle(now, out);
-        self.expire_parked(now, out);
+        self.expire_waiting(now, out);
         self.watch_step(now, out);
     }
 
@@ -113,7 +113,7 @@
     }
 
     fn wants_round(&self, now: Moment) -> bool {
-        let waiting = self.parked.values().filter_map(|p| p.wait.round_since());
+        let waiting = self.waiting.values().filter_map(|p| p.wait.round_since());
         let mut due = waiting.filter(|since| *since <= now);
         if due.any(|since| !self.rounds.covers(since)) {
             return true;
@@ -126,7 +126,7 @@
 
     /// Whether this host must know the group's state: it watches the group, or uses it.
     pub(super) fn is_watched(&self, now: Moment) -> bool {
-        self.is_used(now) || self.watch.is_some() || !self.parked.is_empty()
+        self.is_used(now) || self.watch.is_some() || !self.waiting.is_empty()
     }
 
     fn is_used(&self, now: Moment) -> bool {
@@ -134,8 +134,8 @@
     }
 
     pub(super) fn probe_pause(&self, now: Moment) -> Duration {
-        let waits = |p: &super::Parked| matches!(p.wait, Wait::Endpoint | Wait::Primary);
-        if self.parked.values().any(waits) {
+        let waits = |p: &super::Waiting| matches!(p.wait, Wait::Endpoint | Wait::Primary);
+        if self.waiting.values().any(waits) {
             return STEP_EVERY * 2;
         }
         let suspicious = self.watch.as_ref().is_some_and(super::Watch::is_suspicious);
--- a/crates/decide/src/group/explain.rs
+++ b/crates/decide/src/group/explain.rs
@@ -39,7 +39,7 @@
     pub fn sample_read(floor: Mark) -> Head {
         Head {
             id: RequestId(u64::MAX),
-            department: Name::default(),
+            workspace: Name::default(),
             kind: Kind::Read,
             class: Class::Short,
             floor: Floor::At(floor),
--- a/crates/decide/src/group/mod.rs
+++ b/crates/decide/src/group/mod.rs
@@ -7,9 +7,9 @@
 mod checks;
 mod events;
 mod explain;
-mod parked;
 mod replies;
 mod views;
+mod waiting;
 mod watching;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -22,8 +22,8 @@
 pub use self::{
     events::{Action, Actions, AnswerHead, Event},
     explain::Explanation,
-    parked::{Parked, Wait},
     views::View,
+    waiting::{Wait, Waiting},
 };
 use crate::{
     attempt::Budget,
@@ -136,7 +136,7 @@
     views: Vec<View>,
     history: History,
     rounds: Rounds,
-    parked: BTreeMap<RequestId, Parked>,
+    waiting: BTreeMap<RequestId, Waiting>,
     sent: BTreeMap<RequestId, Sent>,
     budget: Budget,
     watch: Option<Watch>,
@@ -158,7 +158,7 @@
             views,
             history: History::default(),
             rounds: Rounds::default(),
-            parked: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             sent: BTreeMap::new(),
             budget: Budget::new(),
             watch,
@@ -215,7 +215,7 @@
         } else {
             now + UNWATCHED_STEP
         };
-        if !self.parked.is_empty() || !self.sent.is_empty() || !self.rounds.open().is_empty() {
+        if !self.waiting.is_empty() || !self.sent.is_empty() || !self.rounds.open().is_empty() {
             wake = wake.min(now + STEP_EVERY);
         }
         if let Some(at) = self.watch.as_ref().and_then(|w| w.wake(now)) {
@@ -252,7 +252,7 @@
     /// Requests that have not ended.
     #[must_use]
     pub fn unfinished(&self) -> usize {
-        self.parked.len() + self.sent.len()
+        self.waiting.len() + self.sent.len()
     }
 
     /// The watcher's present step, for `status`.
--- a/crates/decide/src/group/parked.rs
+++ b/crates/decide/src/group/waiting.rs
@@ -13,7 +13,7 @@
 /// The longest pause between such rounds.
 const HOLD_PAUSE_LIMIT: Duration = Duration::from_millis(50);
 
-/// What a parked request waits for.
+/// What a waiting request waits for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Wait {
     /// A confirmed position of the primary, checked at this moment or later.
@@ -45,7 +45,7 @@
 
 /// A request that waits.
 #[derive(Debug, Clone)]
-pub struct Parked {
+pub struct Waiting {
     /// The request.
     pub head: Head,
     /// What it waits for.
@@ -65,37 +65,37 @@
 }
 
 impl Group {
-    /// Looks again at every parked request after something was learned.
+    /// Looks again at every waiting request after something was learned.
     pub(super) fn settle(&mut self, now: Moment, out: &mut Actions) {
         let confirmed = self.newest_confirmed();
-        for (id, parked) in mem::take(&mut self.parked) {
-            match parked.wait {
-                Wait::Fence { .. } => self.settle_fence(id, parked, out),
+        for (id, waiting) in mem::take(&mut self.waiting) {
+            match waiting.wait {
+                Wait::Fence { .. } => self.settle_fence(id, waiting, out),
                 Wait::Floor { since } => match confirmed.filter(|c| c.sent >= since) {
-                    Some(c) => self.place_at(parked, Some(c.mark), now, out),
-                    None => self.keep(id, parked),
+                    Some(c) => self.place_at(waiting, Some(c.mark), now, out),
+                    None => self.keep(id, waiting),
                 },
                 Wait::Age { since } => match confirmed.filter(|c| c.sent >= since) {
-                    Some(_) => self.place_at(parked, None, now, out),
-                    None => self.keep(id, parked),
+                    Some(_) => self.place_at(waiting, None, now, out),
+                    None => self.keep(id, waiting),
                 },
-                Wait::Endpoint | Wait::Primary => self.place_at(parked, None, now, out),
+                Wait::Endpoint | Wait::Primary => self.place_at(waiting, None, now, out),
             }
         }
     }
 
-    fn place_at(&mut self, parked: Parked, floor: Option<Mark>, now: Moment, out: &mut Actions) {
-        let Parked {
+    fn place_at(&mut self, waiting: Waiting, floor: Option<Mark>, now: Moment, out: &mut Actions) {
+        let Waiting {
             mut head, tries, ..
-        } = parked;
+        } = waiting;
         if let Some(mark) = floor {
             head.floor = Floor::At(mark);
         }
         self.place(head, tries, now, out);
     }
 
-    fn keep(&mut self, id: RequestId, parked: Parked) {
-        self.parked.insert(id, parked);
+    fn keep(&mut self, id: RequestId, waiting: Waiting) {
+        self.waiting.insert(id, waiting);
     }
 
     fn newest_confirmed(&self) -> Option<Confirmed> {
@@ -107,24 +107,24 @@
     ///
     /// After a change of primary the commit is judged by the new log: kept, it is acknowledged on
     /// the new primary's word; dropped, its caller is told that the outcome is not what it asked.
-    fn settle_fence(&mut self, id: RequestId, parked: Parked, out: &mut Actions) {
+    fn settle_fence(&mut self, id: RequestId, waiting: Waiting, out: &mut Actions) {
         let Wait::Fence {
             since, mark, pin, ..
-        } = parked.wait
+        } = waiting.wait
         else {
             return;
         };
         let Some(present) = self.present_mark(mark, since) else {
             let detail = Name::from("a change of primary dropped the commit");
-            return self.unknown(&parked.head, detail, out);
+            return self.unknown(&waiting.head, detail, out);
         };
         let rule = self.plan.acknowledge;
         let mut rounds = self.rounds.open().iter().filter(|r| r.sent >= since);
         if rounds.any(|r| r.is_safe(present, rule)) {
-            let floor = parked.head.floor.raised(present);
+            let floor = waiting.head.floor.raised(present);
             return out.push(Action::Deliver { id, floor, pin });
         }
-        self.keep(id, parked);
+        self.keep(id, waiting);
     }
 
     /// The mark of a commit in the log of the primary that is confirmed now. Nothing means that
@@ -144,8 +144,8 @@
 
     /// Lets commits that an ended round did not settle ask again after a pause.
     pub(super) fn defer_fences(&mut self, sent: Moment, now: Moment) {
-        for parked in self.parked.values_mut() {
-            let Wait::Fence { since, pause, .. } = &mut parked.wait else {
+        for waiting in self.waiting.values_mut() {
+            let Wait::Fence { since, pause, .. } = &mut waiting.wait else {
                 continue;
             };
             if *since <= sent {
@@ -156,22 +156,22 @@
     }
 
     /// Ends the waits whose time is over.
-    pub(super) fn expire_parked(&mut self, now: Moment, out: &mut Actions) {
-        for (id, parked) in mem::take(&mut self.parked) {
-            let fenced = matches!(parked.wait, Wait::Fence { .. });
+    pub(super) fn expire_waiting(&mut self, now: Moment, out: &mut Actions) {
+        for (id, waiting) in mem::take(&mut self.waiting) {
+            let fenced = matches!(waiting.wait, Wait::Fence { .. });
             let limit = if fenced {
-                parked.head.deadline
+                waiting.head.deadline
             } else {
-                parked.head.start
+                waiting.head.start
             };
             if now < limit {
-                self.parked.insert(id, parked);
+                self.waiting.insert(id, waiting);
             } else if fenced {
                 let detail = Name::from("the commit could not be confirmed in time");
-                self.unknown(&parked.head, detail, out);
+                self.unknown(&waiting.head, detail, out);
             } else {
-                let reason = self.not_run(&parked.wait);
-                self.refuse(&parked.head, reason, out);
+                let reason = self.not_run(&waiting.wait);
+                self.refuse(&waiting.head, reason, out);
             }
         }
     }
@@ -202,12 +202,12 @@
             pause: HOLD_PAUSE,
         };
         let id = head.id;
-        let parked = Parked {
+        let waiting = Waiting {
             head,
             wait,
             tries: 0,
         };
-        self.parked.insert(id, parked);
+        self.waiting.insert(id, waiting);
     }
 
     pub(super) fn cancel(&mut self, id: RequestId, out: &mut Actions) {
@@ -216,14 +216,14 @@
             return out.push(Action::Cancel { id, endpoint });
         }
         let waits = self
-            .parked
+            .waiting
             .get(&id)
             .is_some_and(|p| !matches!(p.wait, Wait::Fence { .. }));
         if !waits {
             return;
         }
-        if let Some(parked) = self.parked.remove(&id) {
-            self.refuse(&parked.head, NotRun::Cancelled, out);
+        if let Some(waiting) = self.waiting.remove(&id) {
+            self.refuse(&waiting.head, NotRun::Cancelled, out);
         }
     }
 }
--- a/crates/decide/src/route/mod.rs
+++ b/crates/decide/src/route/mod.rs
@@ -45,7 +45,7 @@
     /// The terms of the group's log.
     pub history: &'a History,
     /// Whether the read may still wait for a replica.
-    pub patient: bool,
+    pub may_wait: bool,
 }
 
 impl Need<'_> {
@@ -115,7 +115,7 @@
             passed,
         };
     };
-    let wait = need.patient && best.role == Role::Primary && busy(best);
+    let wait = need.may_wait && best.role == Role::Primary && busy(best);
     if wait && catch_up_near(candidates, need) {
         return Route {
             choice: Choice::Wait,
--- a/crates/decide/src/session/mod.rs
+++ b/crates/decide/src/session/mod.rs
@@ -41,8 +41,8 @@
         /// What is allowed.
         allowed: &'static str,
     },
-    /// A token comes from another department, or was changed.
-    #[error("the session token is not valid for this department")]
+    /// A token comes from another workspace, or was changed.
+    #[error("the session token is not valid for this workspace")]
     InvalidToken,
     /// The session keeps too many settings.
     #[error("a session keeps at most {SETTINGS_LIMIT} settings")]
@@ -52,8 +52,8 @@
 /// A caller session.
 #[derive(Debug, Clone)]
 pub struct Session {
-    /// The department that the session belongs to.
-    pub department: Name,
+    /// The workspace that the session belongs to.
+    pub workspace: Name,
     /// The database that it is connected to.
     pub database: Name,
     /// The open transaction.
@@ -72,9 +72,9 @@
 impl Session {
     /// A session that may have written anywhere before.
     #[must_use]
-    pub fn new(department: Name, database: Name) -> Self {
+    pub fn new(workspace: Name, database: Name) -> Self {
         Self {
-            department,
+            workspace,
             database,
             pin: None,
             age: None,
--- a/crates/decide/tests/cluster/mod.rs
+++ b/crates/decide/tests/cluster/mod.rs
@@ -30,7 +30,7 @@
 pub fn head(id: u64, kind: Kind, age_ms: u64, now: Moment) -> Head {
     Head {
         id: RequestId(id),
-        department: Name::from("orders"),
+        workspace: Name::from("orders"),
         kind,
         class: Class::Short,
         floor: Floor::At(Mark::default()),
--- a/crates/decide/tests/group_rules.rs
+++ b/crates/decide/tests/group_rules.rs
@@ -89,7 +89,7 @@
         self.next += 1;
         let head = Head {
             id,
-            department: Name::from("orders"),
+            workspace: Name::from("orders"),
             kind,
             class: Class::Short,
             floor,
--- a/crates/decide/tests/routes.rs
+++ b/crates/decide/tests/routes.rs
@@ -51,13 +51,13 @@
 fn a_read_goes(
     #[case] candidates: Vec<Candidate>,
     #[case] floor: u64,
-    #[values(true)] patient: bool,
+    #[values(true)] may_wait: bool,
 ) {
     let history = History::from_pairs([(1, 0)]);
     let need = Need {
         floors: SmallVec::from_iter([Mark::new(1, floor)]),
         history: &history,
-        patient,
+        may_wait,
     };
     let name = std::thread::current().name().unwrap_or_default().to_owned();
     let case = name.rsplit("::").nth(1).unwrap_or_default().to_owned();
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -94,9 +94,9 @@
         address.set_port(address.port() + number);
     }
     host.seeds = vec![settings.host.peers];
-    let places = settings.places.len().max(1);
-    if let Some(place) = settings.places.get(usize::from(number) % places) {
-        host.place = place.name.clone();
+    let zones = settings.zones.len().max(1);
+    if let Some(zone) = settings.zones.get(usize::from(number) % zones) {
+        host.zone = zone.name.clone();
     }
     own
 }
--- a/crates/endpoints/src/connection.rs
+++ b/crates/endpoints/src/connection.rs
@@ -62,7 +62,7 @@
 /// Whose state a connection holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Identity {
-    department: Name,
+    workspace: Name,
     settings: SmallVec<[Name; 2]>,
 }
 
@@ -174,7 +174,7 @@
     /// Brings the connection into the session's state: clean, with the session's own settings.
     async fn adopt(&mut self, request: &Request) -> Result<(), EndpointError> {
         let wanted = Identity {
-            department: request.head.department.clone(),
+            workspace: request.head.workspace.clone(),
             settings: request.settings.clone(),
         };
         if matches!(&self.left, Left::Settings(held) if *held == wanted) {
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -11,7 +11,7 @@
 mod error;
 mod relay;
 mod repeat;
-mod tender;
+mod scheduler;
 
 use std::net::SocketAddr;
 
@@ -60,6 +60,6 @@
     notices: Sender<(EndpointIx, EndpointNotice)>,
 ) -> EndpointHandle {
     let (commands, inbox): (Sender<EndpointCommand>, Receiver<_>) = flume::unbounded();
-    compio::runtime::spawn(tender::run(target, inbox, notices)).detach();
+    compio::runtime::spawn(scheduler::run(target, inbox, notices)).detach();
     EndpointHandle { commands }
 }
--- a/crates/endpoints/src/repeat.rs
+++ b/crates/endpoints/src/repeat.rs
@@ -27,8 +27,8 @@
 /// The length of an encoded ready message, in bytes.
 const READY_BYTES: usize = 6;
 
-const CREATE: &str = "CREATE TABLE IF NOT EXISTS goldcrest_request (department text, \
-     id text, digest text, answer text, PRIMARY KEY (department, id))";
+const CREATE: &str = "CREATE TABLE IF NOT EXISTS goldcrest_request (workspace text, \
+     id text, digest text, answer text, PRIMARY KEY (workspace, id))";
 const NO_TABLE: &str = "42P01";
 const UNIQUE: &str = "23505";
 const CONFLICTS: [&str; 3] = [UNIQUE, "40001", "40P01"];
@@ -87,8 +87,8 @@
 ) -> Result<Start, EndpointError> {
     run_own(wire, told, "BEGIN").await?;
     let key = format!(
-        "department = {} AND id = {}",
-        quoted(&request.head.department),
+        "workspace = {} AND id = {}",
+        quoted(&request.head.workspace),
         quoted(id)
     );
     let find = format!("SELECT digest, answer FROM goldcrest_request WHERE {key}");
@@ -108,8 +108,8 @@
         });
     }
     let insert = format!(
-        "INSERT INTO goldcrest_request (department, id, digest, answer) VALUES ({}, {}, {}, '')",
-        quoted(&request.head.department),
+        "INSERT INTO goldcrest_request (workspace, id, digest, answer) VALUES ({}, {}, {}, '')",
+        quoted(&request.head.workspace),
         quoted(id),
         quoted(digest)
     );
@@ -168,9 +168,9 @@
         return refusal(*told, "54000", text).map(Some);
     }
     let keep = format!(
-        "UPDATE goldcrest_request SET answer = '{}' WHERE department = {} AND id = {}",
+        "UPDATE goldcrest_request SET answer = '{}' WHERE workspace = {} AND id = {}",
         hex::encode(&answer.body),
-        quoted(&request.head.department),
+        quoted(&request.head.workspace),
         quoted(id)
     );
     run_own(wire, told, &keep).await?;
--- a/crates/endpoints/src/tender.rs
+++ b/crates/endpoints/src/scheduler.rs
@@ -26,7 +26,7 @@
     let (checks, inbox) = flume::unbounded();
     compio::runtime::spawn(check::run(target.clone(), inbox, notices.clone())).detach();
     let (words, heard) = flume::unbounded();
-    let mut tender = Tender {
+    let mut scheduler = Scheduler {
         pool: Pool::new(target.connections),
         target,
         notices,
@@ -36,7 +36,7 @@
         orders: BTreeMap::new(),
     };
     while let Some(input) = next(&commands, &heard).await {
-        tender.take(input);
+        scheduler.take(input);
     }
 }
 
@@ -58,7 +58,7 @@
     }
 }
 
-struct Tender {
+struct Scheduler {
     pool: Pool,
     target: EndpointTarget,
     notices: Sender<(EndpointIx, EndpointNotice)>,
@@ -68,7 +68,7 @@
     orders: BTreeMap<ConnectionId, Sender<Order>>,
 }
 
-impl Tender {
+impl Scheduler {
     fn take(&mut self, input: Input) {
         match input {
             Input::Command(command) => self.command(command),
--- a/crates/fakes/src/callers.rs
+++ b/crates/fakes/src/callers.rs
@@ -125,9 +125,9 @@
 
 impl Caller {
     pub(crate) fn new(number: usize, host: usize) -> Self {
-        let department = Name::from(format!("department-{}", number % 3));
+        let workspace = Name::from(format!("workspace-{}", number % 3));
         Self {
-            session: Session::new(department, Name::from("base")),
+            session: Session::new(workspace, Name::from("base")),
             host,
             waiting: None,
             opened: Vec::new(),
@@ -140,7 +140,7 @@
     /// Goes to another host, with its token or without.
     pub(crate) fn roam(&mut self, host: usize, token: bool) {
         let old = &self.session;
-        let mut fresh = Session::new(old.department.clone(), old.database.clone());
+        let mut fresh = Session::new(old.workspace.clone(), old.database.clone());
         if token {
             let floors = old.floors().iter().cloned().collect();
             fresh.change(goldcrest_decide::session::Change::Floors(floors));
--- a/crates/fakes/src/gossip.rs
+++ b/crates/fakes/src/gossip.rs
@@ -312,7 +312,7 @@
     fn count(&mut self, news: &NewsList) {
         let bytes = news
             .iter()
-            .map(|n| NEWS_BYTES + (n.name.len() + n.place.len()) as u64);
+            .map(|n| NEWS_BYTES + (n.name.len() + n.zone.len()) as u64);
         self.messages += 1;
         self.bytes += GREETING_BYTES + bytes.sum::<u64>();
     }
@@ -320,9 +320,9 @@
 
 fn node(host: usize, seed: u64) -> Node {
     let own = seed ^ (host as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    let place = Name::from(format!("region-{}-place-{}", host % 8, host % 19));
+    let zone = Name::from(format!("region-{}-zone-{}", host % 8, host % 19));
     Node {
-        members: Members::new(name(host), place, address_of(host), 1, own),
+        members: Members::new(name(host), zone, address_of(host), 1, own),
         follower: Follower::new(own),
         alive: true,
         answered: BTreeSet::new(),
--- a/crates/fakes/src/world/asks.rs
+++ b/crates/fakes/src/world/asks.rs
@@ -54,7 +54,7 @@
         let repeatable = self.plan.repeatable && matches!(op, Op::Write(_));
         let head = Head {
             id,
-            department: caller.session.department.clone(),
+            workspace: caller.session.workspace.clone(),
             kind: op.kind(),
             class: Class::Short,
             floor: caller.session.floor(),
--- a/crates/fakes/src/world/mod.rs
+++ b/crates/fakes/src/world/mod.rs
@@ -2,9 +2,9 @@
 
 mod asks;
 mod hosts;
+mod injection;
 mod nodes;
 mod plan;
-mod strikes;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/host/src/admit.rs
+++ b/crates/host/src/admit.rs
@@ -1,16 +1,16 @@
-//! Which department may use which database.
+//! Which workspace may use which database.
 
 use goldcrest_callers::Denied;
-use goldcrest_settings::{Department, Settings};
+use goldcrest_settings::{Settings, Workspace};
 
-/// Admits a department with its password to a database.
+/// Admits a workspace with its password to a database.
 pub(crate) fn admit(
     settings: &Settings,
-    department: &str,
+    workspace: &str,
     database: &str,
     password: Option<&str>,
 ) -> Result<(), Denied> {
-    let Some(found) = find(settings, department) else {
+    let Some(found) = find(settings, workspace) else {
         return Err(Denied::Account);
     };
     if found.password.as_deref() != password {
@@ -23,11 +23,11 @@
     Err(Denied::Database)
 }
 
-/// Whether a department must give a password. Unknown ones must, so that names can't be probed.
-pub(crate) fn guarded(settings: &Settings, department: &str) -> bool {
-    find(settings, department).is_none_or(|d| d.password.is_some())
+/// Whether a workspace must give a password. Unknown ones must, so that names can't be probed.
+pub(crate) fn guarded(settings: &Settings, workspace: &str) -> bool {
+    find(settings, workspace).is_none_or(|d| d.password.is_some())
 }
 
-fn find<'a>(settings: &'a Settings, department: &str) -> Option<&'a Department> {
-    settings.departments.iter().find(|d| d.name == department)
+fn find<'a>(settings: &'a Settings, workspace: &str) -> Option<&'a Workspace> {
+    settings.workspaces.iter().find(|d| d.name == workspace)
 }
--- a/crates/host/src/steward/configure.rs
+++ b/crates/host/src/controller/configure.rs
@@ -12,14 +12,14 @@
 use goldcrest_types::{EndpointIx, Name};
 use spdlog::{info, warn};
 
-use super::{Outcome, Phase, Steward, change, convert};
+use super::{Controller, Outcome, Phase, change, convert};
 use crate::{
     group::GroupControl,
     host::{front, start_group},
     plan::endpoint_plan,
 };
 
-impl Steward {
+impl Controller {
     /// Looks at the platform's table from time to time.
     pub(super) fn poll(&mut self) {
         if !self.follower.poll_due(self.clock.now()) {
@@ -30,7 +30,7 @@
         compio::runtime::spawn(async move {
             if let Ok(found) = change::current(&platform).await {
                 let head = found.map(|(row, _)| change::wire_head(&row));
-                // The steward ends only with its host.
+                // The controller ends only with its host.
                 let _ = outcomes.send(Outcome::Polled(head));
             }
         })
--- a/crates/host/src/steward/convert.rs
+++ b/crates/host/src/controller/convert.rs
@@ -10,7 +10,7 @@
 pub(super) fn wire_news(news: News) -> WireNews {
     WireNews {
         name: news.name,
-        place: news.place,
+        zone: news.zone,
         address: news.address,
         incarnation: news.incarnation,
         health: match news.health {
@@ -25,7 +25,7 @@
 pub(super) fn news(wire: WireNews) -> News {
     News {
         name: wire.name,
-        place: wire.place,
+        zone: wire.zone,
         address: wire.address,
         incarnation: wire.incarnation,
         health: match wire.health {
--- a/crates/host/src/steward/gossip.rs
+++ b/crates/host/src/controller/gossip.rs
@@ -7,7 +7,7 @@
 use goldcrest_types::Name;
 use spdlog::debug;
 
-use super::{Outcome, Phase, Steward, convert};
+use super::{Controller, Outcome, Phase, convert};
 use crate::group::GroupControl;
 
 /// Hosts that watch each group.
@@ -16,7 +16,7 @@
 /// Peers that a newcomer asks for hosts at once.
 const JOIN_SEEDS: usize = 3;
 
-impl Steward {
+impl Controller {
     pub(super) fn gossip_step(&mut self, event: Event) {
         let actions = self.members.step(event, self.clock.now());
         for action in actions {
@@ -51,7 +51,7 @@
             let outcomes = self.outcomes.clone();
             compio::runtime::spawn(async move {
                 if let Ok(introduced) = introduce(seed, greeting).await {
-                    // The steward ends only with its host.
+                    // The controller ends only with its host.
                     let _ = outcomes.send(Outcome::Introduced(introduced));
                 }
             })
@@ -76,7 +76,7 @@
         let kept = self.peers.kept(address);
         let outcomes = self.outcomes.clone();
         if self.cut {
-            // The steward ends only with its host.
+            // The controller ends only with its host.
             let _ = outcomes.send(Outcome::Silent(name, address));
             return;
         }
@@ -205,6 +205,6 @@
     let news = greeting
         .news
         .iter()
-        .map(|n| NEWS + n.name.len() + n.place.len());
+        .map(|n| NEWS + n.name.len() + n.zone.len());
     (FRAMING + HEAD + news.sum::<usize>()) as u64
 }
--- a/crates/host/src/steward/mod.rs
+++ b/crates/host/src/controller/mod.rs
@@ -84,7 +84,7 @@
     Leaving,
 }
 
-/// The channels that the steward listens to.
+/// The channels that the controller listens to.
 pub(crate) struct Inputs {
     pub orders: Receiver<HostOrder>,
     pub peers: Receiver<goldcrest_peers::Call>,
@@ -92,8 +92,8 @@
     pub outcomes: Receiver<Outcome>,
 }
 
-/// The steward's state.
-pub(crate) struct Steward {
+/// The controller's state.
+pub(crate) struct Controller {
     pub settings: Rc<Settings>,
     pub clock: Clock,
     pub platform: Client,
@@ -111,7 +111,7 @@
     pub cut: bool,
 }
 
-impl Steward {
+impl Controller {
     /// Runs until the host's orders end.
     pub(crate) async fn run(mut self, inputs: Inputs) {
         loop {
--- a/crates/host/src/steward/operate.rs
+++ b/crates/host/src/controller/operate.rs
@@ -8,10 +8,10 @@
 };
 use goldcrest_types::{Mark, Name};
 
-use super::{ChangeOutcome, Outcome, Phase, Steward, change, convert};
+use super::{ChangeOutcome, Controller, Outcome, Phase, change, convert};
 use crate::group::GroupControl;
 
-impl Steward {
+impl Controller {
     pub(super) async fn operator(&mut self, call: Call) {
         // Whoever asked may have given up, in each of these.
         match call {
@@ -45,7 +45,7 @@
         compio::runtime::spawn(async move {
             let result = change::change(&platform, &settings, request).await;
             let outcome = ChangeOutcome { result, reply };
-            // The steward ends only with its host.
+            // The controller ends only with its host.
             let _ = outcomes.send(Outcome::Changed(Box::new(outcome)));
         })
         .detach();
@@ -97,7 +97,7 @@
         self.front.send(Control::Count(reply));
         let members = self.members.all().map(|n| MemberStatus {
             host: n.name.clone(),
-            place: n.place.clone(),
+            zone: n.zone.clone(),
             health: Name::from(health_name(n.health)),
         });
         let FleetText {
@@ -105,7 +105,7 @@
         } = self.fleet();
         HostStatus {
             host: self.settings.host.name.clone(),
-            place: self.settings.host.place.clone(),
+            zone: self.settings.host.zone.clone(),
             revision,
             preset,
             sessions: sessions.recv_async().await.unwrap_or(0),
--- a/crates/host/src/steward/stop.rs
+++ b/crates/host/src/controller/stop.rs
@@ -8,7 +8,7 @@
 use goldcrest_decide::fleet;
 use spdlog::info;
 
-use super::{Phase, Steward};
+use super::{Controller, Phase};
 
 /// How long the balancer may take to see that the host leaves. New callers are served meanwhile.
 const BALANCER_NOTICE: Duration = Duration::from_secs(2);
@@ -19,7 +19,7 @@
 /// How long ended sessions may take to close their sockets.
 const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 
-impl Steward {
+impl Controller {
     /// Starts to leave. `done` is told when no session is left, or the time for it is over.
     pub(super) fn begin_stop(&mut self, done: Sender<()>) {
         self.phase = Phase::Leaving;
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -22,9 +22,9 @@
 
 use crate::{
     Clock, HostError, admit,
+    controller::{Controller, HostOrder, Inputs, Phase},
     group::{self, Connect, GroupHandle, Parts},
     plan::group_plan,
-    steward::{HostOrder, Inputs, Phase, Steward},
 };
 
 /// Hosts that may hold connections to one endpoint at the same time.
@@ -33,7 +33,7 @@
 /// Connections of a share that serve term checks.
 const CHECK_CONNECTIONS: usize = 1;
 
-/// Calls of peers and operators that may wait for the steward.
+/// Calls of peers and operators that may wait for the controller.
 const CALLS_WAITING: usize = 256;
 
 /// The handle of a running host. The host ends when it is dropped.
@@ -93,7 +93,7 @@
     let (outcomes, resulted) = flume::unbounded();
     let (orders, ordered) = flume::unbounded();
     let name = settings.host.name.clone();
-    let steward = Steward {
+    let controller = Controller {
         members: members(&settings),
         follower: Follower::new(seed(&settings)),
         peers: Peers::default(),
@@ -110,14 +110,14 @@
         outcomes,
         settings: Rc::clone(&settings),
     };
-    steward.rank_groups();
+    controller.rank_groups();
     let inputs = Inputs {
         orders: ordered,
         peers: called,
         operators: operated,
         outcomes: resulted,
     };
-    compio::runtime::spawn(steward.run(inputs)).detach();
+    compio::runtime::spawn(controller.run(inputs)).detach();
     info!("host {} serves callers at {}", name, settings.host.callers);
     Ok(Host { name, orders })
 }
@@ -134,7 +134,7 @@
     let incarnation = since.map_or(1, |span| span.as_secs());
     Members::new(
         host.name.clone(),
-        host.place.clone(),
+        host.zone.clone(),
         host.peers,
         incarnation,
         seed(settings),
@@ -229,10 +229,10 @@
     let groups = groups.clone();
     Front {
         find: Rc::new(move |name| groups.get(name).map(|g| g.asks.clone())),
-        admit: Rc::new(move |department, database, password| {
-            admit::admit(&admits, department, database, password)
+        admit: Rc::new(move |workspace, database, password| {
+            admit::admit(&admits, workspace, database, password)
         }),
-        guarded: Rc::new(move |department| admit::guarded(&guards, department)),
+        guarded: Rc::new(move |workspace| admit::guarded(&guards, workspace)),
         now: Rc::new(move || clock.now()),
         signer: Signer::new(settings.host.secret.clone()),
         bounds,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,12 +1,12 @@
-//! One host: its groups, its front towards callers, and the steward that joins it to the fleet.
+//! One host: its groups, its front towards callers, and the controller that joins it to the fleet.
 
 mod admit;
+mod controller;
 mod error;
 mod group;
 mod host;
 mod plan;
 mod status;
-mod steward;
 
 pub use crate::{
     error::HostError,
--- a/crates/host/src/plan.rs
+++ b/crates/host/src/plan.rs
@@ -7,10 +7,10 @@
 use goldcrest_types::Name;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The one-way latency that is assumed within a place.
+/// The one-way latency that is assumed within a availability zone.
 const SAME_PLACE: Duration = Duration::from_micros(50);
 
-/// The one-way latency that is assumed between places of a region.
+/// The one-way latency that is assumed between availability zones of a region.
 const SAME_REGION: Duration = Duration::from_micros(500);
 
 /// The one-way latency that is assumed between regions.
@@ -37,24 +37,24 @@
 pub fn endpoint_plan(settings: &Settings, service: &Service, endpoint: &Endpoint) -> EndpointPlan {
     EndpointPlan {
         name: endpoint.name.clone(),
-        distance: distance(settings, &endpoint.place),
+        distance: distance(settings, &endpoint.zone),
         slots: service.slots,
         leaving: endpoint.retired,
     }
 }
 
-fn distance(settings: &Settings, place: &Name) -> Duration {
-    let own = &settings.host.place;
-    if own == place {
+fn distance(settings: &Settings, zone: &Name) -> Duration {
+    let own = &settings.host.zone;
+    if own == zone {
         return SAME_PLACE;
     }
-    if region(settings, own) == region(settings, place) {
+    if region(settings, own) == region(settings, zone) {
         return SAME_REGION;
     }
     OTHER_REGION
 }
 
-fn region<'a>(settings: &'a Settings, place: &Name) -> Option<&'a Name> {
-    let found = settings.places.iter().find(|p| p.name == *place);
+fn region<'a>(settings: &'a Settings, zone: &Name) -> Option<&'a Name> {
+    let found = settings.zones.iter().find(|p| p.name == *zone);
     found.map(|p| &p.region)
 }
--- a/crates/operators/src/model.rs
+++ b/crates/operators/src/model.rs
@@ -62,7 +62,7 @@
     /// Its name.
     pub host: Name,
     /// Where it stands.
-    pub place: Name,
+    pub zone: Name,
     /// Its health.
     pub health: Name,
 }
@@ -73,7 +73,7 @@
     /// Its name.
     pub host: Name,
     /// Where it stands.
-    pub place: Name,
+    pub zone: Name,
     /// The revision in force here; none before the first change.
     pub revision: u64,
     /// The preset in force here.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -49,7 +49,7 @@
     /// The host.
     pub name: Name,
     /// Where it stands.
-    pub place: Name,
+    pub zone: Name,
     /// Where its peers connect.
     pub address: SocketAddr,
     /// Its incarnation.
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -71,7 +71,7 @@
     /// Its name.
     pub name: Name,
     /// Where it stands.
-    pub place: Name,
+    pub zone: Name,
     /// Where its peers connect.
     pub peers: SocketAddr,
     /// Its state.
--- a/crates/settings/src/checks.rs
+++ b/crates/settings/src/checks.rs
@@ -14,7 +14,7 @@
     check_logs(settings, &mut out);
     check_limits(settings, &mut out);
     check_services(settings, &mut out);
-    check_departments(settings, &mut out);
+    check_workspaces(settings, &mut out);
     check_presets(settings, &mut out);
     out
 }
@@ -22,7 +22,7 @@
 fn check_host(settings: &Settings, out: &mut Vec<Fault>) {
     let host = &settings.host;
     check_name("host.name", &host.name, out);
-    check_place(settings, "host.place", &host.place, out);
+    check_zone(settings, "host.zone", &host.zone, out);
     for (key, value) in [
         ("host.secret", &host.secret),
         ("host.operators", &host.operators),
@@ -97,7 +97,7 @@
             }
             for (k, endpoint) in database.endpoints.iter().enumerate() {
                 let key = format!("{key}.endpoints[{k}]");
-                check_place(settings, &format!("{key}.place"), &endpoint.place, out);
+                check_zone(settings, &format!("{key}.zone"), &endpoint.zone, out);
                 if !names.insert(&endpoint.name) {
                     let allowed = "a name that no other database or endpoint has";
                     push(out, format!("{key}.name"), &endpoint.name, allowed);
@@ -107,21 +107,21 @@
     }
 }
 
-fn check_departments(settings: &Settings, out: &mut Vec<Fault>) {
+fn check_workspaces(settings: &Settings, out: &mut Vec<Fault>) {
     let databases: BTreeSet<_> = settings
         .services
         .iter()
         .flat_map(|s| s.databases.iter().map(|d| &d.name))
         .collect();
     let mut names = BTreeSet::new();
-    for (i, department) in settings.departments.iter().enumerate() {
-        let key = format!("departments[{i}]");
-        check_name(&format!("{key}.name"), &department.name, out);
-        if !names.insert(&department.name) {
-            let allowed = "a name that no other department has";
-            push(out, format!("{key}.name"), &department.name, allowed);
+    for (i, workspace) in settings.workspaces.iter().enumerate() {
+        let key = format!("workspaces[{i}]");
+        check_name(&format!("{key}.name"), &workspace.name, out);
+        if !names.insert(&workspace.name) {
+            let allowed = "a name that no other workspace has";
+            push(out, format!("{key}.name"), &workspace.name, allowed);
         }
-        for database in &department.databases {
+        for database in &workspace.databases {
             if !databases.contains(database) {
                 let allowed = "the name of a database of some service";
                 push(out, format!("{key}.databases"), database, allowed);
@@ -137,23 +137,23 @@
         ("peak", &p.peak),
         ("maintenance", &p.maintenance),
     ] {
-        for (department, weight) in &preset.weights {
-            let known = settings.departments.iter().any(|d| d.name == *department);
+        for (workspace, weight) in &preset.weights {
+            let known = settings.workspaces.iter().any(|d| d.name == *workspace);
             if !known {
                 let key = format!("presets.{name}.weights");
-                push(out, key, department, "the name of a department");
+                push(out, key, workspace, "the name of a workspace");
             }
             if *weight == 0 {
-                let key = format!("presets.{name}.weights.{department}");
+                let key = format!("presets.{name}.weights.{workspace}");
                 push(out, key, weight, "at least 1");
             }
         }
     }
 }
 
-fn check_place(settings: &Settings, key: &str, place: &str, out: &mut Vec<Fault>) {
-    if settings.places.iter().all(|p| p.name != place) {
-        push(out, key, place, "the name of a place in [[places]]");
+fn check_zone(settings: &Settings, key: &str, zone: &str, out: &mut Vec<Fault>) {
+    if settings.zones.iter().all(|p| p.name != zone) {
+        push(out, key, zone, "the name of a zone in [[zones]]");
     }
 }
 
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -4,18 +4,18 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{Database, Department, Endpoint, Place, Presets, Service, Settings, SettingsError};
+use crate::{Database, Endpoint, Presets, Service, Settings, SettingsError, Workspace, Zone, read};
 
 /// The declared configuration of a fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fleet {
-    /// The places where hosts and endpoints stand.
-    pub places: Vec<Place>,
+    /// The availability zones where hosts and endpoints stand.
+    pub zones: Vec<Zone>,
     /// Services with their databases.
     pub services: Vec<Service>,
-    /// The departments that share the endpoints.
-    pub departments: Vec<Department>,
+    /// The workspaces that share the endpoints.
+    pub workspaces: Vec<Workspace>,
     /// The three presets.
     #[serde(default)]
     pub presets: Presets,
@@ -30,7 +30,7 @@
     )]
     Removed(Name),
     /// An endpoint changed in a way that only a new one can.
-    #[error("endpoint {0} can't change its address or place: add a new one and retire it")]
+    #[error("endpoint {0} can't change its address or zone: add a new one and retire it")]
     Moved(Name),
     /// A service's own settings changed.
     #[error(
@@ -95,12 +95,12 @@
                 out.push(format!("+ database {}", new.name));
             }
         }
-        plan_departments(&self.departments, &later.departments, &mut out);
+        plan_workspaces(&self.workspaces, &later.workspaces, &mut out);
         if self.presets != later.presets {
             out.push("~ presets".to_owned());
         }
-        if self.places != later.places {
-            out.push("~ places".to_owned());
+        if self.zones != later.zones {
+            out.push("~ zones".to_owned());
         }
         Ok(out)
     }
@@ -125,7 +125,7 @@
     for (i, was) in old.endpoints.iter().enumerate() {
         let now = new.endpoints.get(i).filter(|e| e.name == was.name);
         let now = now.ok_or_else(|| ChangeRefused::Removed(was.name.clone()))?;
-        if now.address != was.address || now.place != was.place {
+        if now.address != was.address || now.zone != was.zone {
             return Err(ChangeRefused::Moved(was.name.clone()));
         }
         match (was.retired, now.retired) {
@@ -143,19 +143,19 @@
     Ok(())
 }
 
-fn plan_departments(old: &[Department], new: &[Department], out: &mut Vec<String>) {
-    for department in new {
-        match old.iter().find(|d| d.name == department.name) {
-            None => out.push(format!("+ department {}", department.name)),
-            Some(was) if was != department => {
-                out.push(format!("~ department {}", department.name));
+fn plan_workspaces(old: &[Workspace], new: &[Workspace], out: &mut Vec<String>) {
+    for workspace in new {
+        match old.iter().find(|d| d.name == workspace.name) {
+            None => out.push(format!("+ workspace {}", workspace.name)),
+            Some(was) if was != workspace => {
+                out.push(format!("~ workspace {}", workspace.name));
             }
             Some(_) => {}
         }
     }
-    for department in old {
-        if new.iter().all(|d| d.name != department.name) {
-            out.push(format!("- department {}", department.name));
+    for workspace in old {
+        if new.iter().all(|d| d.name != workspace.name) {
+            out.push(format!("- workspace {}", workspace.name));
         }
     }
 }
@@ -165,9 +165,9 @@
     #[must_use]
     pub fn fleet(&self) -> Fleet {
         Fleet {
-            places: self.places.clone(),
+            zones: self.zones.clone(),
             services: self.services.clone(),
-            departments: self.departments.clone(),
+            workspaces: self.workspaces.clone(),
             presets: self.presets.clone(),
         }
     }
@@ -180,9 +180,9 @@
             logs: self.logs.clone(),
             limits: self.limits.clone(),
             platform: self.platform.clone(),
-            places: fleet.places,
+            zones: fleet.zones,
             services: fleet.services,
-            departments: fleet.departments,
+            workspaces: fleet.workspaces,
             presets: fleet.presets,
         }
     }
@@ -193,10 +193,7 @@
     ///
     /// [`SettingsError::Malformed`] or [`SettingsError::Invalid`].
     pub fn declare(&self, file: &Name, text: &str) -> Result<Self, SettingsError> {
-        let fleet: Fleet = toml::from_str(text).map_err(|source| SettingsError::Malformed {
-            file: file.clone(),
-            source: Box::new(source),
-        })?;
+        let fleet: Fleet = read(file, text)?;
         let settings = self.with_fleet(fleet);
         crate::check(file, &settings)?;
         Ok(settings)
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,17 +3,19 @@
 mod checks;
 mod fleet;
 mod model;
+mod renamed;
 
 use std::{io, path::Path};
 
 use goldcrest_types::Name;
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 pub use crate::{
     fleet::{ChangeRefused, Fleet},
     model::{
-        Acknowledging, Database, Department, Endpoint, HostSettings, Limits, Logs, Place, Platform,
-        Preset, Presets, Reads, Service, Settings,
+        Acknowledging, Database, Endpoint, HostSettings, Limits, Logs, Platform, Preset, Presets,
+        Reads, Service, Settings, Workspace, Zone,
     },
 };
 
@@ -48,6 +50,16 @@
         /// The cause, with line and column.
         source: Box<toml::de::Error>,
     },
+    /// A key has had another name since.
+    #[error("{file}: the key \"{old}\" is now called \"{new}\"")]
+    Renamed {
+        /// The file.
+        file: Name,
+        /// The key in the file.
+        old: &'static str,
+        /// Its name now.
+        new: &'static str,
+    },
     /// Values are not allowed.
     #[error("{file}: {} fault(s)\n{}", faults.len(), listed(faults))]
     Invalid {
@@ -76,16 +88,30 @@
 ///
 /// # Errors
 ///
-/// [`SettingsError::Malformed`] or [`SettingsError::Invalid`].
+/// [`SettingsError::Malformed`], [`SettingsError::Renamed`] or [`SettingsError::Invalid`].
 pub fn parse(file: &Name, text: &str) -> Result<Settings, SettingsError> {
-    let settings: Settings = toml::from_str(text).map_err(|source| SettingsError::Malformed {
-        file: file.clone(),
-        source: Box::new(source),
-    })?;
+    let settings: Settings = read(file, text)?;
     check(file, &settings)?;
     Ok(settings)
 }
 
+/// Reads TOML of which keys may have older names.
+pub(crate) fn read<T>(file: &Name, text: &str) -> Result<T, SettingsError>
+where
+    T: DeserializeOwned,
+{
+    toml::from_str(text).map_err(|source| {
+        let file = file.clone();
+        match renamed::find(text) {
+            Some((old, new)) => SettingsError::Renamed { file, old, new },
+            None => SettingsError::Malformed {
+                file,
+                source: Box::new(source),
+            },
+        }
+    })
+}
+
 /// Checks the values of settings. `file` names them in errors.
 pub(crate) fn check(file: &Name, settings: &Settings) -> Result<(), SettingsError> {
     let faults = checks::faults(settings);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -19,13 +19,13 @@
     pub limits: Limits,
     /// The platform's services.
     pub platform: Platform,
-    /// The places where hosts and endpoints stand.
+    /// The availability zones where hosts and endpoints stand.
     #[serde(default)]
-    pub places: Vec<Place>,
+    pub zones: Vec<Zone>,
     /// Services with their databases.
     pub services: Vec<Service>,
-    /// The departments that share the endpoints.
-    pub departments: Vec<Department>,
+    /// The workspaces that share the endpoints.
+    pub workspaces: Vec<Workspace>,
     /// The three presets.
     #[serde(default)]
     pub presets: Presets,
@@ -38,7 +38,7 @@
     /// Its name, unique in the fleet.
     pub name: Name,
     /// Where it stands.
-    pub place: Name,
+    pub zone: Name,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where other hosts and operators connect.
@@ -168,10 +168,10 @@
     }
 }
 
-/// A place: an availability zone within a region.
+/// A availability zone: an availability zone within a region.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Place {
+pub struct Zone {
     /// Its name.
     pub name: Name,
     /// Its region.
@@ -257,16 +257,16 @@
     /// Its address.
     pub address: SocketAddr,
     /// Where it stands.
-    pub place: Name,
+    pub zone: Name,
     /// Whether it is being retired.
     #[serde(default)]
     pub retired: bool,
 }
 
-/// A department: an account of callers.
+/// A workspace: an account of callers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Department {
+pub struct Workspace {
     /// Its name, which is the account's name.
     pub name: Name,
     /// The account's password. Without one, callers are trusted.
@@ -295,7 +295,7 @@
 pub struct Preset {
     /// When commits are acknowledged, in place of what each service says.
     pub acknowledge: Option<Acknowledging>,
-    /// Weights of departments; 1 where none is given.
+    /// Weights of workspaces; 1 where none is given.
     pub weights: std::collections::BTreeMap<Name, u32>,
     /// Slots of an endpoint that long work may hold; all but one where none is given.
     pub long: Option<u32>,
--- /dev/null
+++ b/crates/settings/src/renamed.rs
@@ -0,0 +1,30 @@
+//! Keys that have another name since an earlier version.
+
+use toml::{Table, Value};
+
+/// Each old key with its present name.
+const RENAMED: [(&str, &str); 4] = [
+    ("place", "zone"),
+    ("places", "zones"),
+    ("department", "workspace"),
+    ("departments", "workspaces"),
+];
+
+/// The first key of `text` that has another name now.
+pub(crate) fn find(text: &str) -> Option<(&'static str, &'static str)> {
+    let table: Table = toml::from_str(text).ok()?;
+    in_table(&table)
+}
+
+fn in_table(table: &Table) -> Option<(&'static str, &'static str)> {
+    let own = RENAMED.iter().find(|(old, _)| table.contains_key(*old));
+    own.copied().or_else(|| table.values().find_map(in_value))
+}
+
+fn in_value(value: &Value) -> Option<(&'static str, &'static str)> {
+    match value {
+        Value::Table(table) => in_table(table),
+        Value::Array(values) => values.iter().find_map(in_value),
+        _ => None,
+    }
+}
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -14,7 +14,7 @@
 #[rstest]
 fn all_faults_are_told_at_once() {
     let mut settings = built_in().unwrap();
-    settings.host.place = "nowhere".into();
+    settings.host.zone = "nowhere".into();
     settings.host.secret = "short".into();
     settings.logs.level = "loud".into();
     settings.limits.sessions = 0;
@@ -22,7 +22,7 @@
     settings.services[0].slots = 0;
     settings.services[0].databases[1].name = "hearth-orders".into();
     settings.services[0].databases[2].endpoints.clear();
-    settings.departments[1].databases = vec!["nothing".into()];
+    settings.workspaces[1].databases = vec!["nothing".into()];
     settings.presets.peak.weights.insert("nobody".into(), 0);
     insta::assert_snapshot!(told(&settings));
 }
@@ -30,6 +30,8 @@
 #[rstest]
 #[case::not_toml("host = [")]
 #[case::unknown_key("[host]\nnome = \"x\"\n")]
+#[case::renamed_key("[host]\nname = \"x\"\nplace = \"puget-a\"\n")]
+#[case::renamed_table("[[departments]]\nname = \"orders\"\n")]
 fn a_malformed_file_is_told_with_its_line(#[case] text: &str) {
     let name = std::thread::current().name().unwrap_or_default().to_owned();
     let case = name.rsplit("::").next().unwrap_or_default().to_owned();
@@ -43,21 +45,21 @@
     let added = Endpoint {
         name: "orders-4".into(),
         address: "127.0.0.1:6599".parse().unwrap(),
-        place: "puget-a".into(),
+        zone: "puget-a".into(),
         retired: false,
     };
     let mut told = Vec::new();
     let mut grown = fleet.clone();
     grown.services[0].databases[0].endpoints.push(added.clone());
     grown.services[0].databases[1].endpoints[2].retired = true;
-    grown.departments.remove(0);
+    grown.workspaces.remove(0);
     told.push(fleet.plan(&grown));
     let mut twice = grown.clone();
     twice.services[0].databases[0].endpoints.push(added);
     told.push(fleet.plan(&twice));
     told.push(grown.plan(&fleet));
     let mut moved = fleet.clone();
-    moved.services[0].databases[0].endpoints[0].place = "inland-a".into();
+    moved.services[0].databases[0].endpoints[0].zone = "inland-a".into();
     told.push(fleet.plan(&moved));
     let mut changed = fleet.clone();
     changed.services[0].connections = 8;
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -1,6 +1,6 @@
 //! Names as shared immutable strings.
 
-/// The name of a host, place, department, endpoint, database or preset.
+/// The name of a host, availability zone, workspace, endpoint, database or preset.
 ///
 /// Cloning shares the text and never copies it.
 pub type Name = arcstr::ArcStr;
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -37,8 +37,8 @@
 pub struct Head {
     /// The request's number.
     pub id: RequestId,
-    /// The department that asks.
-    pub department: Name,
+    /// The workspace that asks.
+    pub workspace: Name,
     /// What the statement does.
     pub kind: Kind,
     /// How long it is expected to run.
--- a/src/commands/change.rs
+++ b/src/commands/change.rs
@@ -106,10 +106,10 @@
             Ok(format!("endpoint {name} retired"))
         }
         "add" => {
-            let (Some(database), Some(address), Some(place)) =
-                (&options.database, &options.address, &options.place)
+            let (Some(database), Some(address), Some(zone)) =
+                (&options.database, &options.address, &options.zone)
             else {
-                let text = "endpoint add needs --database, --address and --place";
+                let text = "endpoint add needs --database, --address and --zone";
                 return Err(UsageError(text.to_owned()).into());
             };
             let address = address
@@ -121,7 +121,7 @@
             found.endpoints.push(Endpoint {
                 name: Name::from(name.as_str()),
                 address,
-                place: Name::from(place.as_str()),
+                zone: Name::from(zone.as_str()),
                 retired: false,
             });
             Ok(format!("endpoint {name} added to {database}"))
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -6,14 +6,22 @@
 
 /// Prints that the file is in order, or fails with all its faults.
 pub fn run(options: &CheckOptions) -> anyhow::Result<()> {
+    if options.platform {
+        let settings = goldcrest_adapter::settings::load(Path::new(&options.file))?;
+        println!(
+            "{}: in order: host {} in {}, region {}",
+            options.file, settings.name, settings.zone, settings.region
+        );
+        return Ok(());
+    }
     let settings = goldcrest_settings::load(Path::new(&options.file))?;
     let databases: usize = settings.services.iter().map(|s| s.databases.len()).sum();
     println!(
-        "{}: in order: host {}, {} service(s), {databases} database(s), {} department(s)",
+        "{}: in order: host {}, {} service(s), {databases} database(s), {} workspace(s)",
         options.file,
         settings.host.name,
         settings.services.len(),
-        settings.departments.len()
+        settings.workspaces.len()
     );
     Ok(())
 }
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -65,8 +65,8 @@
     let names = settings.services.iter().flat_map(|s| &s.databases);
     let names: Vec<&str> = names.map(|d| d.name.as_str()).collect();
     println!("  databases: {}", names.join(", "));
-    let departments = settings.departments.iter().map(|d| d.name.as_str());
-    let departments: Vec<&str> = departments.collect();
-    println!("  departments: {}", departments.join(", "));
+    let workspaces = settings.workspaces.iter().map(|d| d.name.as_str());
+    let workspaces: Vec<&str> = workspaces.collect();
+    println!("  workspaces: {}", workspaces.join(", "));
     println!("  faults: goldcrestusher fault KIND TARGET (taken at {FAULTS})");
 }
--- a/src/commands/show.rs
+++ b/src/commands/show.rs
@@ -78,10 +78,10 @@
 fn print_status(status: &HostStatus) {
     println!(
         "host {} in {}: revision {}, preset {}, {} session(s)",
-        status.host, status.place, status.revision, status.preset, status.sessions
+        status.host, status.zone, status.revision, status.preset, status.sessions
     );
     for m in &status.members {
-        println!("  host {:<16} {:<16} {}", m.host, m.place, m.health);
+        println!("  host {:<16} {:<16} {}", m.host, m.zone, m.health);
     }
     for group in &status.groups {
         let rank = group
--- a/src/options.rs
+++ b/src/options.rs
@@ -112,6 +112,9 @@
     /// Show help.
     #[options(help = "show this help")]
     pub help: bool,
+    /// Check a file of the users' platform.
+    #[options(no_short, help = "the file is one of the users' platform")]
+    pub platform: bool,
     /// The settings file.
     #[options(free, required, help = "the settings file")]
     pub file: String,
@@ -244,9 +247,9 @@
     /// The address of a new endpoint.
     #[options(no_short, meta = "ADDRESS", help = "add: the endpoint's address")]
     pub address: Option<String>,
-    /// The place of a new endpoint.
-    #[options(no_short, meta = "NAME", help = "add: the endpoint's place")]
-    pub place: Option<String>,
+    /// The availability zone of a new endpoint.
+    #[options(no_short, meta = "NAME", help = "add: the endpoint's zone")]
+    pub zone: Option<String>,
     /// The host.
     #[options(
         no_short,
@@ -400,7 +403,8 @@
 
 /// The exit code for an error.
 pub fn exit_code(error: &anyhow::Error) -> u8 {
-    if error.is::<SettingsError>() || error.is::<UsageError>() {
+    let usage = error.is::<SettingsError>() || error.is::<UsageError>();
+    if usage || error.is::<goldcrest_adapter::settings::SettingsError>() {
         return EXIT_USAGE;
     }
     match error.downcast_ref() {
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -8,6 +8,7 @@
     let output = Command::new(env!("CARGO_BIN_EXE_goldcrestusher"))
         .args(words)
         .env_remove("GOLDCREST_KEY")
+        .env_remove("GOLDCRESTUSHER_CONFIG")
         .output()
         .unwrap();
     let text = [output.stdout, output.stderr].concat();
@@ -28,6 +29,9 @@
 #[case::no_file(&["check", "nowhere.toml"])]
 #[case::preset_without_name(&["preset", "use", "--key", "k"])]
 #[case::in_order(&["check", "crates/demo/src/demo.toml"])]
+#[case::platform_in_order(&["check", "--platform", "platform/tests/data/local.toml"])]
+#[case::platform_no_file(&["check", "--platform", "nowhere.toml"])]
+#[case::platform_no_settings(&["platform"])]
 fn it_says(#[case] words: &[&str]) {
     let name = std::thread::current().name().unwrap_or_default().to_owned();
     let case = name.rsplit("::").next().unwrap_or_default().to_owned();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -50,9 +50,9 @@
     runtime.block_on(work)
 }
 
-/// Connects as a department.
-pub async fn connect(address: SocketAddr, department: &str, database: &str) -> Client {
-    connect_with(address, department, database, "")
+/// Connects as a workspace.
+pub async fn connect(address: SocketAddr, workspace: &str, database: &str) -> Client {
+    connect_with(address, workspace, database, "")
         .await
         .unwrap()
 }
@@ -60,7 +60,7 @@
 /// Connects with start-up options.
 pub async fn connect_with(
     address: SocketAddr,
-    department: &str,
+    workspace: &str,
     database: &str,
     options: &str,
 ) -> Result<Client, Error> {
@@ -68,7 +68,7 @@
     config
         .host(address.ip().to_string())
         .port(address.port())
-        .user(department)
+        .user(workspace)
         .dbname(database);
     if !options.is_empty() {
         config.options(options);
--- a/tests/consistency.rs
+++ b/tests/consistency.rs
@@ -84,7 +84,7 @@
 }
 
 #[rstest]
-fn a_token_of_another_department_is_refused() {
+fn a_token_of_another_workspace_is_refused() {
     let fleet = fleet(1);
     client_side(async {
         let orders = connect(fleet.callers[0], "orders", DATABASE).await;
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -264,14 +264,14 @@
 #[rstest]
 fn wrong_callers_are_told_so() {
     let fleet = common::fleet_with(1, |settings| {
-        settings.departments[1].databases = vec!["hearth-warranty".into()];
-        settings.departments[2].password = Some("secret".into());
+        settings.workspaces[1].databases = vec!["hearth-warranty".into()];
+        settings.workspaces[2].password = Some("secret".into());
         settings.limits.sessions = 1;
     });
     client_side(async {
         let address = fleet.callers[0];
-        let refused = async |department: &str, database: &str| {
-            let error = connect_with(address, department, database, "").await;
+        let refused = async |workspace: &str, database: &str| {
+            let error = connect_with(address, workspace, database, "").await;
             error.err().map(|e| code(&e)).unwrap_or_default()
         };
         let told = vec![
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -14,7 +14,7 @@
 
 const DATABASE: &str = "hearth-orders";
 
-/// A start-up message of protocol 3.0 for department orders.
+/// A start-up message of protocol 3.0 for workspace orders.
 fn startup() -> Vec<u8> {
     let parameters = b"user\0orders\0database\0hearth-orders\0\0";
     let length = u32::try_from(parameters.len() + 8).unwrap();
