Skip trailing replicas, let short work go first, keep the connections of slow reads

Change: a host keeps what a replica held and how old the oldest entry was that it lacked; a read that met a trailing replica goes elsewhere; work that waits is ordered by its deadline and 25 times its learned cost; a read that is tried elsewhere leaves its connection alone for 1.5 s.

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -164,8 +164,12 @@
             LinkState::Idle(now)
         };
         self.set_link(link, state);
+        let lag = ran.mark.and_then(|mark| self.samples.age(mark, true, now));
         if let Some(member) = self.member_mut(run.endpoint) {
             member.note_success(ran.mark);
+            if let Some(mark) = ran.mark {
+                member.note_trail(mark, lag, now);
+            }
         }
         if let (true, Some(mark)) = (ran.led, ran.mark) {
             self.proved(run.endpoint, mark, run.sent, out);
@@ -193,9 +197,13 @@
                 _ => self.counts.primary += 1,
             }
         }
+        let took = now.since(run.sent);
+        let mut own = took;
         if let Some(member) = self.member_mut(run.endpoint) {
-            member.note_service(now.since(run.sent));
+            member.note_service(took);
+            own = took.saturating_sub(member.plan.distance * 2);
         }
+        self.note_cost(&run.ask.head.workspace, own);
         deliver(run, ran, out);
     }
 
@@ -212,6 +220,8 @@
         if reason == NotRun::Behind && self.leader == Some(run.endpoint) {
             // The mark was rolled back: only a newer sample tells what the log holds now.
             ask.since = now;
+        } else if reason == NotRun::Behind {
+            ask.avoid.push(run.endpoint);
         }
         if ask.tries >= NOT_RUN_TRIES || now >= ask.head.start {
             return self.refuse_unrun(ask.head.id, reason, out);
@@ -228,10 +238,6 @@
             }
             Verdict::Behind => {
                 self.counts.behind += 1;
-                if let (Some(m), Guard::Contains(mark)) = (self.member_mut(run.endpoint), run.guard)
-                {
-                    m.note_behind(mark, now);
-                }
                 NotRun::Behind
             }
             _ => {
--- a/crates/decide/src/fenced/asks.rs
+++ b/crates/decide/src/fenced/asks.rs
@@ -1,13 +1,27 @@
 //! New requests, and requests that end early.
 
+use std::time::Duration;
+
 use goldcrest_types::{
-    EndpointIx, Floor, Guard, Head, Kind, Lease, Mark, Moment, NotRun, Opening, Refusal, RequestId,
+    EndpointIx, Floor, Guard, Head, Kind, Lease, Mark, Moment, Name, NotRun, Opening, Refusal,
+    RequestId,
 };
 use smallvec::SmallVec;
 
 use super::{Action, Actions, Cluster, Running, Waiting, members::LinkState};
 use crate::attempt::{self, Fate, READ_TRIES};
 
+/// How much later a statement's turn comes for each unit of its expected cost: work of 13 ms lets
+/// work of 2.5 ms go first that came up to 0.25 s later.
+const COST_WEIGHT: u32 = 25;
+
+/// A new cost counts one part in this many.
+const COST_PARTS: u32 = 16;
+
+/// How long the answer to abandoned work may still come. Above the longest statement timeout in
+/// use (1.2 s), within which the endpoint itself ends it.
+const ABANDONED_LIMIT: Duration = Duration::from_millis(1_500);
+
 impl Cluster {
     pub(super) fn ask(&mut self, head: Head, opening: Opening, now: Moment, out: &mut Actions) {
         self.budget.earn();
@@ -15,6 +29,7 @@
             self.read = Some(now);
         }
         let ask = Waiting {
+            turn: head.start,
             since: head.arrived.before(head.age.unwrap_or_default()),
             head,
             opening,
@@ -28,14 +43,23 @@
         }
     }
 
-    /// Queues a request by the moment at which it must have started.
-    pub(super) fn wait(&mut self, ask: Waiting) {
-        let at = self
-            .waiting
-            .partition_point(|w| w.head.start <= ask.head.start);
+    /// Queues a request by the moment at which it must have started and by its expected cost.
+    ///
+    /// Answers the load at a crest, where more work waits than endpoints can run: short work goes
+    /// before long, which moves up as it ages.
+    pub(super) fn wait(&mut self, mut ask: Waiting) {
+        let cost = self.costs.get(&ask.head.workspace).copied();
+        ask.turn = ask.head.start + cost.unwrap_or_default() * COST_WEIGHT;
+        let at = self.waiting.partition_point(|w| w.turn <= ask.turn);
         self.waiting.insert(at, ask);
     }
 
+    /// Learns what a workspace's statements take at an endpoint.
+    pub(super) fn note_cost(&mut self, workspace: &Name, took: Duration) {
+        let known = self.costs.entry(workspace.clone()).or_insert(took);
+        *known = (*known * (COST_PARTS - 1) + took) / COST_PARTS;
+    }
+
     fn run_held(
         &mut self,
         ask: Waiting,
@@ -98,8 +122,8 @@
 
     /// Ends what has waited or run for too long.
     pub(super) fn expire(&mut self, now: Moment, out: &mut Actions) {
-        let late = self.waiting.partition_point(|w| w.head.start <= now);
-        let expired: SmallVec<[Waiting; 4]> = self.waiting.drain(..late).collect();
+        let late = |w: &mut Waiting| w.head.start <= now;
+        let expired: SmallVec<[Waiting; 4]> = self.waiting.extract_if(.., late).collect();
         for ask in expired {
             self.refuse_unrun(ask.head.id, ask.cause, out);
         }
@@ -120,6 +144,14 @@
             return;
         };
         let (link, endpoint) = (run.link, run.endpoint);
+        if run.may_move() && now < run.ask.head.deadline {
+            // Slow work keeps its connection: a new one would take a slot of a busy endpoint.
+            self.set_link(link, LinkState::Abandoned(now));
+            if let Some(member) = self.member_mut(endpoint) {
+                member.note_busy(now);
+            }
+            return self.lost(id, true, now, out);
+        }
         self.drop_link(link);
         out.push(Action::Close(link));
         if let Some(member) = self.member_mut(endpoint) {
@@ -128,6 +160,20 @@
         self.lost(id, true, now, out);
     }
 
+    /// Closes connections whose abandoned work is never answered.
+    pub(super) fn close_abandoned(&mut self, now: Moment, out: &mut Actions) {
+        for member in &mut self.members {
+            member.links.retain(|link| {
+                let over = matches!(link.state, LinkState::Abandoned(since)
+                    if now.since(since) >= ABANDONED_LIMIT);
+                if over {
+                    out.push(Action::Close(link.id));
+                }
+                !over
+            });
+        }
+    }
+
     /// Decides on a request whose connection is gone.
     pub(super) fn lost(&mut self, id: RequestId, sent: bool, now: Moment, out: &mut Actions) {
         let Some(run) = self.running.remove(&id) else {
--- a/crates/decide/src/fenced/members.rs
+++ b/crates/decide/src/fenced/members.rs
@@ -20,8 +20,12 @@
 /// The longest such pause.
 const RETRY_LAST: Duration = Duration::from_millis(800);
 
-/// How long an endpoint that lacked a mark is passed over for reads that need as much.
-const BEHIND_FOR: Duration = Duration::from_millis(40);
+/// How long an endpoint that trails is passed over for reads that it is not expected to serve.
+/// Short enough to find within a few statements that it has caught up.
+const BEHIND_FOR: Duration = Duration::from_millis(150);
+
+/// How long it is passed over at least: about two pieces of work.
+const BEHIND_LEAST: Duration = Duration::from_millis(25);
 
 /// How long a full endpoint gets no further connection.
 const FULL_FOR: Duration = Duration::from_millis(400);
@@ -40,6 +44,8 @@
     Busy(RequestId, Lease),
     /// It waits for the next statement of a transaction.
     Held(Lease),
+    /// It runs a read that is tried elsewhere since this moment.
+    Abandoned(Moment),
     /// It carries a question of the group's own, sent at this moment.
     Own(Moment),
 }
@@ -71,7 +77,18 @@
     retry: Moment,
     full: Moment,
     busy: Moment,
-    behind: Option<(Mark, Moment)>,
+    trail: Option<Trail>,
+}
+
+/// How far an endpoint trails its leader.
+#[derive(Debug, Clone, Copy)]
+struct Trail {
+    /// What its log held.
+    reached: Mark,
+    /// When it said so.
+    at: Moment,
+    /// The age of the oldest entry that it lacked then.
+    lag: Duration,
 }
 
 impl Member {
@@ -90,7 +107,7 @@
             retry: Moment::ZERO,
             full: Moment::ZERO,
             busy: Moment::ZERO,
-            behind: None,
+            trail: None,
         }
     }
 
@@ -154,9 +171,13 @@
         self.retry.max(self.full).max(self.busy)
     }
 
-    pub(super) fn lacks(&self, floor: Mark, now: Moment) -> bool {
-        self.behind
-            .is_some_and(|(mark, until)| floor >= mark && now < until)
+    /// Whether the endpoint is expected to lack `floor`, which the leader has held for `age`.
+    pub(super) fn lacks(&self, floor: Mark, age: Duration, now: Moment) -> bool {
+        self.trail.is_some_and(|t| {
+            let told = now.since(t.at);
+            let due = age > t.lag + t.lag / 4 && told >= BEHIND_LEAST;
+            floor > t.reached && !due && told < BEHIND_FOR
+        })
     }
 
     pub(super) fn is_busy(&self, now: Moment) -> bool {
@@ -192,8 +213,13 @@
         self.busy = now + BUSY_FOR;
     }
 
-    pub(super) fn note_behind(&mut self, floor: Mark, now: Moment) {
-        self.behind = Some((floor, now + BEHIND_FOR));
+    /// Notes what the endpoint's log holds, and the age of the oldest entry that it lacks.
+    pub(super) fn note_trail(&mut self, reached: Mark, lag: Option<Duration>, now: Moment) {
+        self.trail = lag.map(|lag| Trail {
+            reached,
+            at: now,
+            lag,
+        });
     }
 
     /// The number of failures since the last success.
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -66,6 +66,8 @@
     /// A read must hold everything that was acknowledged before this moment.
     since: Moment,
     opening: Opening,
+    /// Earlier turns go first.
+    turn: Moment,
     tries: u8,
     avoid: SmallVec<[EndpointIx; 2]>,
     cause: NotRun,
@@ -125,6 +127,8 @@
     running: BTreeMap<RequestId, Running>,
     succession: Succession,
     budget: Budget,
+    /// What a workspace's statements take at an endpoint.
+    costs: BTreeMap<Name, Duration>,
     counts: Counts,
     next_link: u64,
     next_member: u16,
@@ -148,6 +152,7 @@
             running: BTreeMap::new(),
             succession: Succession::default(),
             budget: Budget::new(),
+            costs: BTreeMap::new(),
             counts: Counts::default(),
             next_link: 0,
             next_member: 0,
@@ -174,6 +179,7 @@
         self.place_waiting(now, &mut out);
         self.question_leader(now, &mut out);
         self.close_idle(now, &mut out);
+        self.close_abandoned(now, &mut out);
         out
     }
 
--- a/crates/decide/src/fenced/place.rs
+++ b/crates/decide/src/fenced/place.rs
@@ -102,7 +102,10 @@
             return leads && floor.is_none() && now.since(since) < self.plan.drain;
         }
         match floor {
-            Some(mark) => leads || !m.lacks(mark, now),
+            Some(mark) => {
+                let age = self.samples.age(mark, false, now).unwrap_or_default();
+                leads || !m.lacks(mark, age, now)
+            }
             None => leads,
         }
     }
--- a/crates/decide/src/fenced/samples.rs
+++ b/crates/decide/src/fenced/samples.rs
@@ -80,6 +80,15 @@
         first.map_or(newest.mark, |s| s.mark)
     }
 
+    /// How long ago the leader is known to have held `mark`, with nothing newer than it for
+    /// `beyond`. Nothing is returned where no sample tells.
+    #[must_use]
+    pub fn age(&self, mark: Mark, beyond: bool, now: Moment) -> Option<Duration> {
+        let holds = |s: &&Sample| s.mark > mark || (!beyond && s.mark == mark);
+        let first = self.recent.iter().chain(&self.newest).find(holds);
+        first.map(|s| now.since(s.asked))
+    }
+
     /// The newest sample and when it was asked for.
     #[must_use]
     pub fn newest(&self) -> Option<(Moment, Mark)> {
