--- a/crates/decide/src/fenced/members.rs
+++ b/crates/decide/src/fenced/members.rs
@@ -222,6 +222,12 @@
         });
     }
 
+    /// Whether it has failed since its last success.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.failing.is_some()
+    }
+
     /// The number of failures since the last success.
     pub(super) fn failures(&self) -> u32 {
         self.failures
--- a/crates/fenced/src/lib.rs
+++ b/crates/fenced/src/lib.rs
@@ -1,6 +1,7 @@
 //! The task of one group whose platform fences its primaries: feeds its decisions with messages,
 //! and carries out what they say.
 
+mod decisions;
 mod directory;
 
 use std::{
@@ -22,6 +23,7 @@
 use smallvec::SmallVec;
 use spdlog::info;
 
+use crate::decisions::Decisions;
 pub use crate::directory::{Configuration, Directory, Route, Target};
 
 /// An endpoint with its address.
@@ -121,6 +123,7 @@
         held: HashMap::new(),
         notices,
         answers,
+        decisions: Decisions::default(),
     };
     compio::runtime::spawn(task.run(inputs)).detach();
     Handle { asks, control }
@@ -166,6 +169,7 @@
     held: HashMap<RequestId, Ran>,
     notices: Sender<(ConnectionId, ConnectionNotice)>,
     answers: Sender<StoreNotice>,
+    decisions: Decisions,
 }
 
 impl Task {
@@ -235,6 +239,7 @@
         for action in self.cluster.step(event, now) {
             self.act(action);
         }
+        self.decisions.endpoints(&self.cluster, now);
     }
 
     fn act(&mut self, action: Action) {
@@ -260,8 +265,7 @@
             Action::Refuse(id, refusal) => self.refuse(id, refusal),
             Action::Succession(command) => self.succession(command),
             Action::Leader(endpoint, term) => {
-                let (service, name) = (&self.cluster.plan().name, self.name(endpoint));
-                info!("{} leads {} in term {}", name, service, term.0);
+                Decisions::leads(&self.cluster, &self.name(endpoint), term.0);
             }
         }
     }
@@ -292,7 +296,7 @@
 
     fn succession(&self, command: SuccessionCommand) {
         let service = self.cluster.plan().name.clone();
-        info!("succession of {}: {:?}", service, command);
+        info!("succession: {:?}", command, kv: { service = service.as_str() });
         (self.surroundings.succession)(service, command, self.answers.clone());
     }
 
@@ -322,12 +326,10 @@
     }
 
     fn refuse(&mut self, id: RequestId, refusal: Refusal) {
-        let service = &self.cluster.plan().name;
+        let now = self.surroundings.clock.now();
         if let Some((statement, _)) = self.requests.get(&id) {
-            info!(
-                "statement {} on {} refused: {}",
-                statement.label, service, refusal
-            );
+            self.decisions
+                .refused(statement, &refusal, &self.cluster, now);
         }
         self.reply(id, Err(refusal), Floor::Unknown, None);
     }
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -4,6 +4,6 @@
 mod meters;
 
 pub use crate::{
-    logs::{LogError, LogForm, start_logs},
+    logs::{LogError, LogForm, start_logs, start_output},
     meters::{MeterError, Meters},
 };
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use anyhow::Context;
-use goldcrest_observe::{LogForm, start_logs};
+use goldcrest_observe::start_output;
 
 use crate::options::{PlatformOptions, UsageError};
 
@@ -12,7 +12,7 @@
 
 /// Serves until a signal stops the host.
 pub fn run(options: &PlatformOptions) -> anyhow::Result<()> {
-    start_logs(LogForm::Json, &options.log).context("starting the log")?;
+    start_output(&options.log).context("starting the log")?;
     let path = match &options.settings {
         Some(path) => PathBuf::from(path),
         None => std::env::var_os(SETTINGS_VARIABLE)
