Tell the tries of a read apart by their connections

Cause: since a slow read keeps its connection while it is tried elsewhere. Ruled out: RESET and setup on held connections. A connection that ended late also ended the second try.

Change: an answer belongs to the try on its connection; whoever answers first serves the read, and a late answer that leaves a transaction open is rolled back.

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -1,7 +1,7 @@
 //! What happens on connections.
 
 use goldcrest_types::{
-    ConnectionId, ConnectionNotice, EndpointIx, Floor, Guard, Kind, Mark, Moment, NotRun,
+    ConnectionId, ConnectionNotice, EndpointIx, Floor, Guard, Kind, Lease, Mark, Moment, NotRun,
     OpenError, Opening, Pin, Ran, RequestId, TxState, Verdict,
 };
 
@@ -87,7 +87,10 @@
         if let Some(member) = self.member_mut(endpoint) {
             member.note_failure(now);
         }
-        if let Some((id, sent)) = under_way {
+        let current = |run: &Running| run.link == link;
+        if let Some((id, sent)) = under_way
+            && self.running.get(&id).is_some_and(current)
+        {
             self.lost(id, sent, now, out);
         }
     }
@@ -153,9 +156,8 @@
         now: Moment,
         out: &mut Actions,
     ) {
-        let Some(run) = self.running.remove(&id) else {
-            self.set_link(link, LinkState::Idle(now));
-            return;
+        let Some(run) = self.take_run(link, id, ran, now) else {
+            return self.ran_late(link, id, ran, now, out);
         };
         let open = ran.tx != TxState::Idle;
         let state = if open {
@@ -187,6 +189,68 @@
         }
     }
 
+    /// Takes the run that an answer belongs to. A read that is tried elsewhere is served by whoever
+    /// answers first.
+    fn take_run(
+        &mut self,
+        link: ConnectionId,
+        id: RequestId,
+        ran: &Ran,
+        now: Moment,
+    ) -> Option<Running> {
+        let Some(current) = self.running.get(&id).map(|run| run.link) else {
+            return self.take_waiting(link, id, ran, now);
+        };
+        if current == link {
+            return self.running.remove(&id);
+        }
+        if ran.verdict != Verdict::Done {
+            return None;
+        }
+        let endpoint = self.owner(link)?;
+        let mut run = self.running.remove(&id)?;
+        self.set_link(current, LinkState::Abandoned(now));
+        (run.link, run.endpoint) = (link, endpoint);
+        Some(run)
+    }
+
+    /// Takes a request that waits for its next try, if its first one has been answered after all.
+    fn take_waiting(
+        &mut self,
+        link: ConnectionId,
+        id: RequestId,
+        ran: &Ran,
+        now: Moment,
+    ) -> Option<Running> {
+        let at = self.waiting.iter().position(|w| w.head.id == id)?;
+        let endpoint = self.owner(link)?;
+        (ran.verdict == Verdict::Done).then(|| Running {
+            ask: self.waiting.remove(at),
+            endpoint,
+            link,
+            lease: Lease(id.0),
+            guard: Guard::None,
+            sent: now,
+        })
+    }
+
+    /// Takes an answer that nobody waits for any longer.
+    fn ran_late(
+        &mut self,
+        link: ConnectionId,
+        id: RequestId,
+        ran: &Ran,
+        now: Moment,
+        out: &mut Actions,
+    ) {
+        out.push(Action::Discard(id));
+        if ran.tx == TxState::Idle {
+            return self.set_link(link, LinkState::Idle(now));
+        }
+        self.set_link(link, LinkState::Own(now));
+        out.push(Action::Rollback(link));
+    }
+
     fn done(&mut self, run: &Running, ran: &Ran, now: Moment, out: &mut Actions) {
         self.counts.answered += 1;
         if run.ask.head.kind == Kind::Read {
--- a/crates/decide/tests/fenced.rs
+++ b/crates/decide/tests/fenced.rs
@@ -253,3 +253,51 @@
     assert!(!served, "{}", stage.said());
     assert!(stage.now > Moment::from_millis(13_000));
 }
+
+/// The first read of a transaction (2) has been tried on the near replica (1), and is now tried on
+/// the leader (0).
+fn tried_elsewhere() -> Stage {
+    let mut stage = ready();
+    let head = cluster::head(2, Kind::Read, 2_500, stage.now);
+    let opening = goldcrest_types::Opening::ReadOnly;
+    stage.event("begin 2", Event::Ask(head, opening));
+    stage.wait(360);
+    stage
+}
+
+#[test]
+fn a_read_that_is_tried_elsewhere_is_served_by_whoever_answers_first() {
+    // Found by a hunt: the late answer was taken for the second try's, and that connection went to
+    // the next statement with a transaction open.
+    let mut stage = tried_elsewhere();
+    stage.ran(1, 2, Verdict::Done, TxState::Open);
+    stage.ran(0, 2, Verdict::Done, TxState::Open);
+    insta::assert_snapshot!(stage.said());
+}
+
+#[test]
+fn a_late_refusal_does_not_end_the_second_try() {
+    let mut stage = tried_elsewhere();
+    stage.ran(1, 2, Verdict::Busy, TxState::Idle);
+    stage.ran(0, 2, Verdict::Done, TxState::Open);
+    insta::assert_snapshot!(stage.said());
+}
+
+#[test]
+fn the_end_of_the_first_tries_connection_does_not_end_the_second() {
+    let mut stage = tried_elsewhere();
+    stage.notice(1, ConnectionNotice::Closed(Some((RequestId(2), true))));
+    stage.ran(0, 2, Verdict::Done, TxState::Open);
+    insta::assert_snapshot!(stage.said());
+}
+
+#[test]
+fn a_late_answer_serves_a_read_that_still_waits_for_its_second_try() {
+    let mut stage = ready();
+    stage.write(9);
+    stage.read(2, 2_500);
+    stage.wait(360);
+    stage.forget();
+    stage.ran(1, 2, Verdict::Done, TxState::Idle);
+    insta::assert_snapshot!(stage.said());
+}
