--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod members;
 mod place;
+mod roster;
 mod samples;
 mod succession;
 
@@ -302,83 +303,6 @@
     fn is_wanted(&self, now: Moment) -> bool {
         self.is_read(now) || !self.waiting.is_empty() || self.succession.is_active()
     }
-
-    /// Takes in the endpoints that discovery lists.
-    fn renew_members(&mut self, plans: SmallVec<[MemberPlan; 4]>, now: Moment, out: &mut Actions) {
-        let listed = |m: &Member| {
-            let same =
-                |p: &&MemberPlan| p.name == m.plan.name && p.incarnation == m.plan.incarnation;
-            plans.iter().any(|p| same(&p))
-        };
-        let gone: SmallVec<[EndpointIx; 4]> = self
-            .members
-            .iter()
-            .filter(|m| !listed(m))
-            .map(|m| m.ix)
-            .collect();
-        for ix in gone {
-            self.remove_member(ix, now, out);
-        }
-        for plan in plans {
-            let known = self.members.iter_mut().find(|m| m.plan.name == plan.name);
-            match known {
-                Some(member) => member.renew(plan, now),
-                None => self.add_member(plan, now),
-            }
-        }
-    }
-
-    fn add_member(&mut self, plan: MemberPlan, now: Moment) {
-        let ix = EndpointIx(self.next_member);
-        self.next_member = self.next_member.wrapping_add(1);
-        self.members.push(Member::new(plan, ix, now));
-    }
-
-    /// Forgets an endpoint. What runs there ends when its connections do.
-    fn remove_member(&mut self, ix: EndpointIx, now: Moment, out: &mut Actions) {
-        let Some(at) = self.members.iter().position(|m| m.ix == ix) else {
-            return;
-        };
-        let member = self.members.remove(at);
-        for link in member.links {
-            out.push(Action::Close(link.id));
-            if let LinkState::Busy(id, _) = link.state {
-                self.lost(id, true, now, out);
-            }
-        }
-        if self.leader == Some(ix) {
-            self.forget_leader(now);
-        }
-    }
-
-    fn forget_leader(&mut self, now: Moment) {
-        self.leader = None;
-        self.leaderless = now;
-    }
-
-    /// Closes connections that have waited for work for long, all but one an endpoint, those above
-    /// this host's share, and those to endpoints that leave.
-    fn close_idle(&mut self, now: Moment, out: &mut Actions) {
-        let share = self.plan.share;
-        for member in &mut self.members {
-            let mut surplus = member.links.len().saturating_sub(share);
-            let leaving = member.leaving.is_some() && self.leader != Some(member.ix);
-            let mut beyond_one = member.links.len().saturating_sub(1);
-            member.links.retain(|link| {
-                let LinkState::Idle(since) = link.state else {
-                    return true;
-                };
-                let old = beyond_one > 0 && now.since(since) >= IDLE_LIMIT;
-                if old || leaving || surplus > 0 {
-                    beyond_one = beyond_one.saturating_sub(1);
-                    surplus = surplus.saturating_sub(1);
-                    out.push(Action::Close(link.id));
-                    return false;
-                }
-                true
-            });
-        }
-    }
 }
 
 /// The shortest time between two ticks.
