Never tell a client that a request has not run after it was sent

Cause: a read, or the first statement of a transaction, whose first try was lost and that ran out of time while it waited for the next was refused as not run, though the first try may have run.

Change: a request keeps whether a try of it was sent. Then a read is told that it did not end in time, and a first statement that its transaction was rolled back. Ruled out: telling both that the outcome is unknown, as neither commits.

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -288,7 +288,7 @@
             ask.avoid.push(run.endpoint);
         }
         if ask.tries >= NOT_RUN_TRIES || now >= ask.head.start {
-            return self.refuse_unrun(ask.head.id, reason, out);
+            return self.refuse_waiting(&ask, reason, out);
         }
         out.push(Action::Discard(ask.head.id));
         self.wait(ask);
--- a/crates/decide/src/fenced/asks.rs
+++ b/crates/decide/src/fenced/asks.rs
@@ -34,6 +34,7 @@
             head,
             opening,
             tries: 0,
+            sent: false,
             avoid: SmallVec::new(),
             cause: NotRun::Late,
         };
@@ -125,7 +126,7 @@
         let late = |w: &mut Waiting| w.head.start <= now;
         let expired: SmallVec<[Waiting; 4]> = self.waiting.extract_if(.., late).collect();
         for ask in expired {
-            self.refuse_unrun(ask.head.id, ask.cause, out);
+            self.refuse_waiting(&ask, ask.cause, out);
         }
         let over: SmallVec<[RequestId; 4]> = self
             .running
@@ -180,6 +181,7 @@
             return;
         };
         let mut ask = run.ask;
+        ask.sent |= sent;
         let fate = match (ask.opening, ask.head.kind) {
             (Opening::None, _) | (_, Kind::Commit) => attempt::after_loss(&ask.head, sent),
             // A transaction that was just opened is rolled back with its connection.
@@ -192,8 +194,8 @@
                 ask.avoid.push(run.endpoint);
                 self.wait(ask);
             }
-            Fate::Again if !sent => self.refuse_unrun(id, NotRun::Unreachable, out),
-            Fate::Again | Fate::Unread => refuse(id, Refusal::Timeout, out),
+            Fate::Again => self.refuse_waiting(&ask, NotRun::Unreachable, out),
+            Fate::Unread => refuse(id, Refusal::Timeout, out),
             Fate::Unknown => self.refuse_unknown(id, "the endpoint's answer was lost", out),
             Fate::TransactionLost => refuse(id, Refusal::TransactionLost, out),
         }
@@ -209,10 +211,19 @@
         refuse(id, Refusal::Unknown { detail }, out);
     }
 
-    pub(super) fn refuse_unrun(&mut self, id: RequestId, reason: NotRun, out: &mut Actions) {
+    /// Refuses a request that has no try under way. Only one that was never sent has not run for
+    /// certain; a transaction that an earlier try opened is rolled back.
+    pub(super) fn refuse_waiting(&mut self, ask: &Waiting, reason: NotRun, out: &mut Actions) {
         self.counts.refused += 1;
-        let retry = Some(attempt::RETRY_HINT);
-        refuse(id, Refusal::NotRun { reason, retry }, out);
+        let refusal = match (ask.sent, ask.opening) {
+            (false, _) => Refusal::NotRun {
+                reason,
+                retry: Some(attempt::RETRY_HINT),
+            },
+            (true, Opening::None) => Refusal::Timeout,
+            (true, _) => Refusal::TransactionLost,
+        };
+        refuse(ask.head.id, refusal, out);
     }
 
     /// What a read must contain, if a sample of the leader is recent enough to tell.
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -69,6 +69,8 @@
     opening: Opening,
     /// Earlier turns go first.
     turn: Moment,
+    /// Whether an earlier try may have run.
+    sent: bool,
     tries: u8,
     avoid: SmallVec<[EndpointIx; 2]>,
     cause: NotRun,
--- a/crates/decide/tests/fenced.rs
+++ b/crates/decide/tests/fenced.rs
@@ -301,3 +301,22 @@
     stage.ran(1, 2, Verdict::Done, TxState::Idle);
     insta::assert_snapshot!(stage.said());
 }
+
+#[rstest]
+#[case::read("read", Kind::Read, goldcrest_types::Opening::None)]
+#[case::first_of_transaction("first", Kind::Write, goldcrest_types::Opening::ReadWrite)]
+fn a_request_that_was_sent_is_never_told_to_have_not_run(
+    #[case] name: &str,
+    #[case] kind: Kind,
+    #[case] opening: goldcrest_types::Opening,
+) {
+    let mut stage = ready();
+    let head = cluster::head(2, kind, 2_500, stage.now);
+    stage.event("ask 2", Event::Ask(head, opening));
+    let link = u64::from(kind == Kind::Read);
+    stage.notice(link, ConnectionNotice::Closed(Some((RequestId(2), true))));
+    stage.list(Vec::new());
+    stage.wait(700);
+    assert!(!stage.said().contains("NotRun"), "{}", stage.said());
+    insta::assert_snapshot!(format!("sent_and_expired_{name}"), stage.said());
+}
