Let one host a region own a group's connections where they are too few for all hosts

Cause: on the grown sites 69 hosts share 46 connections an endpoint.

Ruled out: opening and closing connections as needed, since each set-up takes a slot for 12 to 27 ms; owners an availability zone, which would get 7 connections each; a queue an endpoint, which leaves one owner across regions for each leader.

Change: decide::owners chooses by weighted rendezvous hashing among the hosts that are present; decide::relay chooses the owner for each request, keeps transactions with theirs, pings silent owners, and falls back on the host's own connections; goldcrest-peers carries statements over tarpc.

--- a/crates/decide/src/fenced/events.rs
+++ b/crates/decide/src/fenced/events.rs
@@ -22,6 +22,15 @@
     pub leads: bool,
 }
 
+/// What this host does for the group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holding {
+    /// Connections that it may hold to one endpoint.
+    pub connections: usize,
+    /// Whether it replaces leaders that leave while none of its clients asks for the group.
+    pub watches: bool,
+}
+
 /// Something that happened.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -35,8 +44,8 @@
     Connection(ConnectionId, ConnectionNotice),
     /// The endpoints that discovery lists now.
     Members(SmallVec<[MemberPlan; 4]>),
-    /// Hold at most this many connections to one endpoint.
-    Share(usize),
+    /// This host's part in the group has changed.
+    Hold(Holding),
     /// The platform answered.
     Store(StoreNotice),
     /// The clock moved.
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -21,7 +21,7 @@
 use smallvec::SmallVec;
 
 pub use self::{
-    events::{Action, Actions, Event, MemberPlan},
+    events::{Action, Actions, Event, Holding, MemberPlan},
     members::Member,
     succession::LEASE_USE,
 };
@@ -129,6 +129,8 @@
     waiting: Vec<Waiting>,
     running: BTreeMap<RequestId, Running>,
     succession: Succession,
+    /// Whether leaders that leave are replaced without demand.
+    watches: bool,
     budget: Budget,
     /// What a workspace's statements take at an endpoint.
     costs: BTreeMap<Name, Duration>,
@@ -154,6 +156,7 @@
             waiting: Vec::new(),
             running: BTreeMap::new(),
             succession: Succession::default(),
+            watches: true,
             budget: Budget::new(),
             costs: BTreeMap::new(),
             counts: Counts::default(),
@@ -171,7 +174,7 @@
             Event::Release(endpoint, lease) => self.release(endpoint, lease, now, &mut out),
             Event::Connection(link, notice) => self.connection(link, notice, now, &mut out),
             Event::Members(plans) => self.renew_members(plans, now, &mut out),
-            Event::Share(share) => self.plan.share = share,
+            Event::Hold(holding) => self.hold(holding),
             Event::Store(notice) => self.store_answered(notice, now, &mut out),
             Event::Tick => {}
         }
@@ -268,6 +271,11 @@
         self.members.iter_mut().find(|m| m.ix == ix)
     }
 
+    fn hold(&mut self, holding: Holding) {
+        self.plan.share = holding.connections;
+        self.watches = holding.watches;
+    }
+
     /// The endpoint of a connection.
     fn owner(&self, link: ConnectionId) -> Option<EndpointIx> {
         let mut members = self.members.iter();
--- a/crates/decide/src/fenced/succession.rs
+++ b/crates/decide/src/fenced/succession.rs
@@ -165,7 +165,7 @@
             // Without demand nobody has searched, so nothing is known.
             return Some(self.leaderless.max(self.wanted?) + LEADERLESS_LIMIT);
         };
-        if leader.leaving.is_some() {
+        if leader.leaving.is_some() && (self.watches || self.wanted.is_some()) {
             return Some(Moment::ZERO);
         }
         let silent = leader.failing?;
--- a/crates/decide/src/share/mod.rs
+++ b/crates/decide/src/share/mod.rs
@@ -22,6 +22,17 @@
     pub need: f64,
 }
 
+/// What a host needs that takes over when one of these fails: as much as they do on average.
+#[must_use]
+pub fn standby(hosts: &[Demand]) -> Demand {
+    let needs: SmallVec<[f64; 8]> = hosts.iter().map(weight).collect();
+    let mean = needs.iter().sum::<f64>() / portion(needs.len().max(1), 1.0, 1.0);
+    Demand {
+        host: Name::new(),
+        need: mean,
+    }
+}
+
 /// How many of an endpoint's `total` connections `host` may hold.
 ///
 /// Shares are whole and add up to no more than the total. With more hosts than connections each
--- a/crates/fenced/src/decisions.rs
+++ b/crates/fenced/src/decisions.rs
@@ -79,6 +79,30 @@
         });
     }
 
+    /// A request gets no answer of the hosts that own its group.
+    pub(crate) fn relay_refused(
+        &mut self,
+        statement: &Statement,
+        refusal: &Refusal,
+        service: &str,
+        running: usize,
+        now: Moment,
+    ) {
+        let Some(dropped) = self.refused.admit(now) else {
+            return;
+        };
+        let head = &statement.head;
+        info!("relayed request refused: {}", refusal, kv: {
+            request = statement.label.as_str(),
+            service = service,
+            database = head.workspace.as_str(),
+            kind = format!("{:?}", head.kind).as_str(),
+            after_ms = milliseconds(Some(now.since(head.arrived))),
+            running = running,
+            dropped = dropped,
+        });
+    }
+
     /// An endpoint proved that it leads.
     pub(crate) fn leads(cluster: &Cluster, endpoint: &str, term: u64) {
         info!("leader known", kv: {
--- a/crates/fenced/src/directory.rs
+++ b/crates/fenced/src/directory.rs
@@ -1,12 +1,13 @@
 //! The configuration in force and the groups that it names.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use flume::Sender;
 use goldcrest_decide::{
     dialogue::Freshness,
-    fenced::ClusterPlan,
-    share::{Demand, share},
+    fenced::{ClusterPlan, Holding},
+    owners::{Candidate, Holders, holders, ranking},
+    share::{Demand, share, standby},
 };
 use goldcrest_types::{Name, SessionAsk, Statement};
 use spdlog::info;
@@ -48,11 +49,45 @@
     pub idle: Duration,
 }
 
+/// This host among the others.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its name.
+    pub host: Name,
+    /// Its region.
+    pub region: Name,
+}
+
+/// A live host, this one included.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// What the choice of owners looks at.
+    pub candidate: Candidate,
+    /// Where it runs statements for other hosts.
+    pub address: SocketAddr,
+    /// The connections that it keeps busy, by service.
+    pub needs: BTreeMap<Name, f64>,
+}
+
+/// A host that owns a group.
+#[derive(Debug, Clone)]
+pub(crate) struct Owner {
+    pub host: Name,
+    pub address: SocketAddr,
+}
+
+/// A service's group, and whether its requests go to other hosts.
+struct Service {
+    handle: Handle,
+    relayed: bool,
+}
+
 /// The groups of a host, by their service.
 pub struct Directory {
+    own: Identity,
     start: Box<dyn Fn(ClusterPlan) -> Handle>,
     configuration: Rc<Configuration>,
-    groups: BTreeMap<Name, Handle>,
+    groups: BTreeMap<Name, Service>,
     drain: Duration,
     /// The endpoints by service, once they are known.
     endpoints: Option<BTreeMap<Name, Vec<Listed>>>,
@@ -64,8 +99,9 @@
 impl Directory {
     /// A directory without a configuration. Leaders that leave get writes for `drain`.
     #[must_use]
-    pub fn new(drain: Duration, start: Box<dyn Fn(ClusterPlan) -> Handle>) -> Self {
+    pub fn new(own: Identity, drain: Duration, start: Box<dyn Fn(ClusterPlan) -> Handle>) -> Self {
         Self {
+            own,
             start,
             configuration: Rc::default(),
             groups: BTreeMap::new(),
@@ -95,7 +131,7 @@
     pub fn list(&mut self, endpoints: BTreeMap<Name, Vec<Listed>>) {
         self.endpoints = Some(endpoints);
         for (service, group) in &self.groups {
-            self.tell_members(service, group);
+            self.tell_members(service, &group.handle);
         }
     }
 
@@ -122,7 +158,7 @@
 
     /// The groups' handles.
     pub fn groups(&self) -> impl Iterator<Item = &Handle> {
-        self.groups.values()
+        self.groups.values().map(|service| &service.handle)
     }
 
     /// Where the sessions of a database go.
@@ -130,23 +166,47 @@
     pub fn find(&self, database: &str) -> Option<Target> {
         let route = self.configuration.routes.get(database)?;
         let group = self.groups.get(&route.service)?;
+        let asks = if group.relayed {
+            &group.handle.relay.asks
+        } else {
+            &group.handle.asks
+        };
         Some(Target {
             route: route.clone(),
-            group: group.asks.clone(),
+            group: asks.clone(),
             idle: self.configuration.idle,
         })
     }
 
-    /// Gives each group this host's share of an endpoint's connections.
-    pub fn share<F>(&mut self, host: &str, demands: F)
-    where
-        F: Fn(&Name) -> Vec<Demand>,
-    {
-        for (service, group) in &self.groups {
+    /// This host's own group of a service, for statements that other hosts send.
+    #[must_use]
+    pub fn own_group(&self, service: &str) -> Option<Sender<SessionAsk<Statement>>> {
+        let group = self.groups.get(service)?;
+        Some(group.handle.asks.clone())
+    }
+
+    /// Decides anew who holds the groups' connections, among the hosts that are alive.
+    pub fn renew_hosts(&mut self, hosts: &[Peer]) {
+        let candidates: Vec<Candidate> = hosts.iter().map(|h| h.candidate.clone()).collect();
+        for (service, group) in &mut self.groups {
             let total = self.configuration.connections.get(service);
-            let share = share(total.copied().unwrap_or(1), &demands(service), host);
-            // The task ends only with this directory.
-            let _ = group.control.send(Control::Share(share));
+            let total = total.copied().unwrap_or(1);
+            let holders = holders(service, total, &candidates);
+            let (holding, relayed) = part(&self.own, service, total, hosts, &holders);
+            let owners = if relayed {
+                owners(&self.own, service, hosts, &candidates)
+            } else {
+                Vec::new()
+            };
+            if relayed != group.relayed {
+                info!("requests go to {}", if relayed { "owners" } else { "own connections" }, kv: {
+                    service = service.as_str(), hosts = hosts.len(), connections = total,
+                });
+            }
+            group.relayed = relayed;
+            // The tasks end only with this directory.
+            let _ = group.handle.control.send(Control::Hold(holding));
+            let _ = group.handle.relay.owners.send(owners);
         }
     }
 
@@ -161,6 +221,61 @@
         };
         let group = (self.start)(plan);
         self.tell_members(service, &group);
-        self.groups.insert(service.clone(), group);
+        let service_group = Service {
+            handle: group,
+            relayed: false,
+        };
+        self.groups.insert(service.clone(), service_group);
     }
 }
+
+/// What this host does for a group, and whether its requests go to other hosts.
+fn part(
+    own: &Identity,
+    service: &Name,
+    total: usize,
+    hosts: &[Peer],
+    holders: &Holders,
+) -> (Holding, bool) {
+    let demand = |peer: &Peer| Demand {
+        host: peer.candidate.host.clone(),
+        need: peer.needs.get(service).copied().unwrap_or_default(),
+    };
+    let Holders::Owners(owners) = holders else {
+        let demands: Vec<Demand> = hosts.iter().map(demand).collect();
+        let holding = Holding {
+            connections: share(total, &demands, &own.host),
+            watches: true,
+        };
+        return (holding, false);
+    };
+    let owning = hosts.iter().filter(|h| owners.contains(&h.candidate.host));
+    let mut demands: Vec<Demand> = owning.map(demand).collect();
+    let spare = standby(&demands);
+    let owns = owners.contains(&own.host);
+    let holder = if owns {
+        own.host.clone()
+    } else {
+        spare.host.clone()
+    };
+    demands.push(spare);
+    let holding = Holding {
+        connections: share(total, &demands, &holder),
+        watches: owns,
+    };
+    (holding, !owns)
+}
+
+/// The other hosts of this region that own a group, in order of preference.
+fn owners(own: &Identity, service: &str, hosts: &[Peer], candidates: &[Candidate]) -> Vec<Owner> {
+    let ranking = ranking(service, &own.region, candidates);
+    let others = ranking.iter().filter(|host| **host != own.host);
+    let address = |host: &Name| {
+        let peer = hosts.iter().find(|h| h.candidate.host == *host)?;
+        Some(Owner {
+            host: host.clone(),
+            address: peer.address,
+        })
+    };
+    others.filter_map(address).collect()
+}
--- a/crates/fenced/src/lib.rs
+++ b/crates/fenced/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod decisions;
 mod directory;
+mod relay;
 
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
 };
 
@@ -14,7 +16,7 @@
 use flume::{Receiver, Sender};
 use futures_util::{FutureExt, pin_mut, select_biased};
 use goldcrest_clock::Clock;
-use goldcrest_decide::fenced::{Action, Cluster, ClusterPlan, Counts, Event, MemberPlan};
+use goldcrest_decide::fenced::{Action, Cluster, ClusterPlan, Counts, Event, Holding, MemberPlan};
 use goldcrest_types::{
     Answer, ConnectionCommand, ConnectionId, ConnectionNotice, EndpointIx, Floor, Name, Outcome,
     Pin, Ran, Refusal, Reply, RequestId, Role, SessionAsk, Statement, StoreNotice,
@@ -24,7 +26,10 @@
 use spdlog::info;
 
 use crate::decisions::Decisions;
-pub use crate::directory::{Configuration, Directory, Route, Target};
+pub use crate::{
+    directory::{Configuration, Directory, Identity, Peer, Route, Target},
+    relay::HostLink,
+};
 
 /// An endpoint with its address.
 #[derive(Debug, Clone)]
@@ -59,19 +64,21 @@
 pub enum Control {
     /// The endpoints that discovery lists now.
     Members(Vec<Listed>),
-    /// Hold at most this many connections to one endpoint.
-    Share(usize),
+    /// This host's part in the group has changed.
+    Hold(Holding),
     /// Reply with the group's account.
     Account(Sender<Account>),
 }
 
-/// The handle of a group's task. The task ends when all handles are gone.
+/// The handle of a group's task and of its relay. They end when all handles are gone.
 #[derive(Debug, Clone)]
 pub struct Handle {
-    /// Where sessions ask.
+    /// Where sessions ask this host's own group.
     pub asks: Sender<SessionAsk<Statement>>,
     /// Where the host speaks.
     pub control: Sender<Control>,
+    /// Where sessions ask the hosts that own the group.
+    pub(crate) relay: relay::Handle,
 }
 
 /// What the task of a connection needs.
@@ -99,6 +106,8 @@
     pub connect: Box<dyn Fn(Link)>,
     /// Speaks with the platform about this service, and tells what came of it.
     pub succession: Box<dyn Fn(Name, SuccessionCommand, Sender<StoreNotice>)>,
+    /// Starts the task of a connection to another host.
+    pub connect_host: Rc<dyn Fn(HostLink)>,
 }
 
 /// Starts a group's task on this thread's runtime.
@@ -114,6 +123,14 @@
         inbox,
         answered,
     };
+    let relay = relay::start(
+        plan.name.clone(),
+        relay::Surroundings {
+            clock: surroundings.clock,
+            connect: Rc::clone(&surroundings.connect_host),
+            group: asks.clone(),
+        },
+    );
     let task = Task {
         cluster: Cluster::new(plan),
         surroundings,
@@ -126,7 +143,11 @@
         decisions: Decisions::default(),
     };
     compio::runtime::spawn(task.run(inputs)).detach();
-    Handle { asks, control }
+    Handle {
+        asks,
+        control,
+        relay,
+    }
 }
 
 struct Inputs {
@@ -200,7 +221,7 @@
                 self.step(Event::Release(endpoint, lease));
             }
             Input::Control(Control::Members(listed)) => self.list(listed),
-            Input::Control(Control::Share(share)) => self.step(Event::Share(share)),
+            Input::Control(Control::Hold(holding)) => self.step(Event::Hold(holding)),
             Input::Control(Control::Account(reply)) => {
                 // The asking task may have given up.
                 let _ = reply.send(self.account());
--- /dev/null
+++ b/crates/fenced/src/relay.rs
@@ -0,0 +1,288 @@
+//! The task that passes a group's requests to the hosts that own its connections: feeds the relay's
+//! decisions with messages, and carries out what they say.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use compio::time::timeout_at;
+use flume::{Receiver, Sender};
+use futures_util::{FutureExt, pin_mut, select_biased};
+use goldcrest_clock::Clock;
+use goldcrest_decide::relay::{Action, Event, LinkId, Relay, Replied};
+use goldcrest_types::{
+    Floor, Name, Pin, Refusal, RelayCommand, RelayNotice, Reply, RequestId, SessionAsk, Statement,
+};
+use spdlog::{info, warn};
+
+use crate::{decisions::Decisions, directory::Owner};
+
+/// What the task of a connection to another host needs.
+pub struct HostLink {
+    /// The service whose group the other host owns.
+    pub service: Name,
+    /// Where the other host listens.
+    pub address: SocketAddr,
+    /// What to do. The connection is closed when the sender is gone.
+    pub commands: Receiver<RelayCommand>,
+    /// Tells what happens.
+    pub tell: Box<dyn Fn(RelayNotice)>,
+}
+
+/// The handle of a relay's task. The task ends when all handles are gone.
+#[derive(Debug, Clone)]
+pub(crate) struct Handle {
+    /// Where sessions ask.
+    pub asks: Sender<SessionAsk<Statement>>,
+    /// Where the directory names the group's owners, in order of preference.
+    pub owners: Sender<Vec<Owner>>,
+}
+
+/// What a relay's task borrows from its surroundings.
+pub(crate) struct Surroundings {
+    pub clock: Clock,
+    /// Starts the task of a connection.
+    pub connect: Rc<dyn Fn(HostLink)>,
+    /// This host's own group.
+    pub group: Sender<SessionAsk<Statement>>,
+}
+
+/// Starts the relay of a service on this thread's runtime.
+pub(crate) fn start(service: Name, surroundings: Surroundings) -> Handle {
+    let (asks, asked) = flume::unbounded();
+    let (owners, named) = flume::unbounded();
+    let (notices, inbox) = flume::unbounded();
+    let (own, own_replies) = flume::unbounded();
+    let inputs = Inputs {
+        asked,
+        named,
+        inbox,
+        own_replies,
+    };
+    let task = Task {
+        service,
+        relay: Relay::default(),
+        surroundings,
+        addresses: BTreeMap::new(),
+        links: BTreeMap::new(),
+        requests: HashMap::new(),
+        held: HashMap::new(),
+        notices,
+        own,
+        decisions: Decisions::default(),
+    };
+    compio::runtime::spawn(task.run(inputs)).detach();
+    Handle { asks, owners }
+}
+
+struct Inputs {
+    asked: Receiver<SessionAsk<Statement>>,
+    named: Receiver<Vec<Owner>>,
+    inbox: Receiver<(LinkId, RelayNotice)>,
+    own_replies: Receiver<Reply>,
+}
+
+enum Input {
+    Ask(SessionAsk<Statement>),
+    Owners(Vec<Owner>),
+    Notice(LinkId, RelayNotice),
+    Over,
+}
+
+impl Inputs {
+    async fn next(&self) -> Input {
+        let ask = self.asked.recv_async().fuse();
+        let owners = self.named.recv_async().fuse();
+        let notice = self.inbox.recv_async().fuse();
+        let own = self.own_replies.recv_async().fuse();
+        pin_mut!(ask, owners, notice, own);
+        select_biased! {
+            got = notice => got.map_or(Input::Over, |(link, notice)| Input::Notice(link, notice)),
+            got = own => got.map_or(Input::Over, |reply| {
+                Input::Notice(LinkId::OWN, RelayNotice::Replied(reply))
+            }),
+            got = owners => got.map_or(Input::Over, Input::Owners),
+            got = ask => got.map_or(Input::Over, Input::Ask),
+        }
+    }
+}
+
+struct Task {
+    service: Name,
+    relay: Relay,
+    surroundings: Surroundings,
+    addresses: BTreeMap<Name, SocketAddr>,
+    links: BTreeMap<LinkId, Sender<RelayCommand>>,
+    requests: HashMap<RequestId, (Arc<Statement>, Sender<Reply>)>,
+    held: HashMap<RequestId, Reply>,
+    notices: Sender<(LinkId, RelayNotice)>,
+    /// Where this host's own group replies.
+    own: Sender<Reply>,
+    decisions: Decisions,
+}
+
+impl Task {
+    async fn run(mut self, inputs: Inputs) {
+        loop {
+            let wake = self.relay.wake(self.surroundings.clock.now());
+            let instant = self.surroundings.clock.instant(wake);
+            match timeout_at(instant, inputs.next()).await {
+                Ok(Input::Ask(ask)) => self.ask(ask),
+                Ok(Input::Owners(owners)) => self.owners(owners),
+                Ok(Input::Notice(link, notice)) => self.notice(link, notice),
+                Ok(Input::Over) => return,
+                Err(_) => self.step(Event::Tick),
+            }
+        }
+    }
+
+    fn ask(&mut self, ask: SessionAsk<Statement>) {
+        match ask {
+            SessionAsk::Run(statement, reply) => {
+                let (head, opening) = (statement.head.clone(), statement.opening);
+                self.requests.insert(head.id, (statement, reply));
+                self.step(Event::Ask(head, opening));
+            }
+            SessionAsk::Cancel(id) => {
+                self.requests.remove(&id);
+                self.step(Event::Cancel(id));
+            }
+            SessionAsk::Release(_, lease) => self.step(Event::Release(lease)),
+        }
+    }
+
+    fn owners(&mut self, owners: Vec<Owner>) {
+        let names = owners.iter().map(|owner| owner.host.clone()).collect();
+        self.addresses = owners.into_iter().map(|o| (o.host, o.address)).collect();
+        self.step(Event::Owners(names));
+    }
+
+    fn notice(&mut self, link: LinkId, notice: RelayNotice) {
+        match notice {
+            RelayNotice::Replied(reply) => {
+                let replied = Replied {
+                    pin: reply.pin,
+                    not_run: match &reply.result {
+                        Err(Refusal::NotRun { reason, .. }) => Some(*reason),
+                        _ => None,
+                    },
+                };
+                let id = reply.id;
+                self.held.insert(id, reply);
+                self.step(Event::Replied(link, id, replied));
+                // One that nobody waits for is dropped.
+                self.held.remove(&id);
+            }
+            RelayNotice::Alive => self.step(Event::Alive(link)),
+            RelayNotice::Closed(sent) => {
+                self.links.remove(&link);
+                self.step(Event::Closed(link, sent));
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.surroundings.clock.now();
+        for action in self.relay.step(event, now) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Open(link, host) => self.open(link, &host),
+            Action::Close(link) => {
+                self.links.remove(&link);
+            }
+            Action::Send(link, id, pin) => self.send(link, id, pin),
+            Action::Cancel(LinkId::OWN, id) => self.ask_own(SessionAsk::Cancel(id)),
+            Action::Cancel(link, id) => self.command(link, RelayCommand::Cancel(id)),
+            Action::Release(LinkId::OWN, pin) => {
+                self.ask_own(SessionAsk::Release(pin.endpoint, pin.lease));
+            }
+            Action::Release(link, pin) => self.command(link, RelayCommand::Release(pin)),
+            Action::Ping(link) => self.command(link, RelayCommand::Ping),
+            Action::Deliver(id, pin) => {
+                if let Some(reply) = self.held.remove(&id) {
+                    self.reply(Reply { pin, ..reply });
+                }
+            }
+            Action::Refuse(id, refusal) => self.refuse(id, refusal),
+            Action::Reach(host, true) => info!("host regained", kv: {
+                service = self.service.as_str(), host = host.as_str()
+            }),
+            Action::Reach(host, false) => warn!("host lost", kv: {
+                service = self.service.as_str(), host = host.as_str()
+            }),
+        }
+    }
+
+    fn open(&mut self, link: LinkId, host: &Name) {
+        let notices = self.notices.clone();
+        let tell = move |notice| {
+            // The relay that listens owns the connection's task.
+            let _ = notices.send((link, notice));
+        };
+        let Some(address) = self.addresses.get(host) else {
+            return tell(RelayNotice::Closed(false));
+        };
+        let (commands, ordered) = flume::unbounded();
+        self.links.insert(link, commands);
+        (self.surroundings.connect)(HostLink {
+            service: self.service.clone(),
+            address: *address,
+            commands: ordered,
+            tell: Box::new(tell),
+        });
+    }
+
+    fn send(&mut self, link: LinkId, id: RequestId, pin: Option<Pin>) {
+        let Some((statement, _)) = self.requests.get(&id) else {
+            return;
+        };
+        let statement = Arc::clone(statement);
+        if link != LinkId::OWN {
+            return self.command(link, RelayCommand::Run(statement, pin));
+        }
+        let mut own = (*statement).clone();
+        own.head.pin = pin;
+        self.ask_own(SessionAsk::Run(own.into(), self.own.clone()));
+    }
+
+    fn command(&self, link: LinkId, command: RelayCommand) {
+        if let Some(commands) = self.links.get(&link) {
+            // A connection that just ended tells so itself.
+            let _ = commands.send(command);
+        }
+    }
+
+    fn ask_own(&self, ask: SessionAsk<Statement>) {
+        // The group ends only with its host.
+        let _ = self.surroundings.group.send(ask);
+    }
+
+    fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+        let now = self.surroundings.clock.now();
+        if let Some((statement, _)) = self.requests.get(&id) {
+            let load = self.relay.load();
+            self.decisions
+                .relay_refused(statement, &refusal, &self.service, load, now);
+        }
+        self.reply(Reply {
+            id,
+            result: Err(refusal),
+            floor: Floor::Unknown,
+            pin: None,
+        });
+    }
+
+    fn reply(&mut self, reply: Reply) {
+        if let Some((_, session)) = self.requests.remove(&reply.id) {
+            // The session may be gone.
+            let _ = session.send(reply);
+        }
+    }
+}
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -153,7 +153,7 @@
     Ok(client.client)
 }
 
-fn deadline(limit: Duration) -> Context {
+pub(crate) fn deadline(limit: Duration) -> Context {
     let mut context = tarpc::context::current();
     context.deadline = Instant::now() + limit;
     context
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod error;
+pub mod relay;
 mod service;
 mod timer;
 
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -1,5 +1,7 @@
 //! A TCP socket with a read buffer, shared by every protocol that the proxy speaks.
 
+pub mod accept;
+
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
--- a/crates/types/src/answer.rs
+++ b/crates/types/src/answer.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::{Floor, Mark, Name, Pin, RequestId, Role};
 
 /// Whether a transaction is open after an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum TxState {
     /// No transaction is open.
     #[default]
@@ -20,7 +21,7 @@
 }
 
 /// How an endpoint ended a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The statement ran.
     Done,
@@ -34,7 +35,7 @@
 }
 
 /// An endpoint's whole answer to one request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     /// How the request ended.
     pub outcome: Outcome,
@@ -49,7 +50,7 @@
 }
 
 /// Why a request was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub enum NotRun {
     /// No primary is known and the wait is over.
     #[error("the database has no primary at present")]
@@ -72,7 +73,7 @@
 }
 
 /// Why a caller gets no answer of an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub enum Refusal {
     /// The request was not run. This is certain.
     #[error("not run: {reason}")]
@@ -113,7 +114,7 @@
 }
 
 /// What a session is told about its request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
     /// The request.
     pub id: RequestId,
--- a/crates/types/src/channel.rs
+++ b/crates/types/src/channel.rs
@@ -5,8 +5,8 @@
 use flume::Sender;
 
 use crate::{
-    Answer, AttemptId, EndpointIx, Lease, Reply, Report, Request, RequestId, RoundId, SealReply,
-    Term,
+    Answer, AttemptId, EndpointIx, Lease, Pin, Reply, Report, Request, RequestId, RoundId,
+    SealReply, Statement, Term,
 };
 
 /// A message from a session to its group. `R` is the form of request that the front speaks.
@@ -74,3 +74,27 @@
     /// A promotion was answered.
     Promoted(AttemptId, bool),
 }
+
+/// A message to the task of a connection to another host, which runs statements there.
+#[derive(Debug, Clone)]
+pub enum RelayCommand {
+    /// Run a statement, in the open transaction that the other host knows by this pin.
+    Run(Arc<Statement>, Option<Pin>),
+    /// Forget a statement's reply.
+    Cancel(RequestId),
+    /// Roll back a transaction.
+    Release(Pin),
+    /// Tell whether the other host lives.
+    Ping,
+}
+
+/// A message from the task of a connection to another host.
+#[derive(Debug, Clone)]
+pub enum RelayNotice {
+    /// A statement was replied to. The pin is the other host's.
+    Replied(Reply),
+    /// The other host lives.
+    Alive,
+    /// The connection is gone. Tells whether anything may have been sent on it.
+    Closed(bool),
+}
--- a/crates/types/src/group.rs
+++ b/crates/types/src/group.rs
@@ -1,9 +1,11 @@
 //! What an endpoint says of itself.
 
+use serde::{Deserialize, Serialize};
+
 use crate::{History, Mark, Position, Term};
 
 /// An endpoint's part in its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Role {
     /// Takes writes.
     Primary,
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The index of an endpoint within its database group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointIx(pub u16);
 
 impl EndpointIx {
@@ -17,7 +17,7 @@
 }
 
 /// A request's number, unique on its host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u64);
 
 impl fmt::Display for RequestId {
@@ -35,11 +35,11 @@
 pub struct RoundId(pub u64);
 
 /// The hold of one session on one connection: the number of the request that took it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Lease(pub u64);
 
 /// The connection that an open transaction is bound to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pin {
     /// The endpoint that runs the transaction.
     pub endpoint: EndpointIx,
--- a/crates/types/src/log.rs
+++ b/crates/types/src/log.rs
@@ -1,9 +1,12 @@
 //! Terms, log positions and what a session may rely on.
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 /// The number of a primary's reign. Each promotion raises it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct Term(pub u64);
 
 impl Term {
@@ -15,11 +18,15 @@
 }
 
 /// The number of log entries up to a point in a group's log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct Position(pub u64);
 
 /// A point in a group's log: everything up to `position`, as the log of `term` has it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct Mark {
     /// The term whose log this is.
     pub term: Term,
@@ -39,7 +46,7 @@
 }
 
 /// The oldest state that a session may be shown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Floor {
     /// The session may have written elsewhere: nothing is known, and zero is never assumed.
     #[default]
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::{Floor, Moment, Name, Pin, RequestId};
 
 /// What a statement does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// Reads only, and may run on a replica.
     Read,
@@ -23,7 +24,7 @@
 }
 
 /// How long a statement is expected to run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Class {
     /// Interactive work.
     #[default]
--- a/crates/types/src/statement.rs
+++ b/crates/types/src/statement.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use thiserror::Error;
 
 use crate::{EndpointIx, Head, Mark, Name, RequestId, Role, Term, TxState};
 
 /// The transaction that a statement opens before it runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Opening {
     /// None: the statement runs by itself, or in the open transaction.
     #[default]
@@ -22,7 +23,7 @@
 }
 
 /// A statement that makes a connection fit for its session.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Setting {
     /// A session value and the statement that sets it.
     Value(Name, Name),
