Let another host claim and promote where an owner is cut off from the store

Cause: a group has three owners on the grown sites, and only they watch its leader. Ruled out: letting all hosts watch all groups, which costs each of them connections; stepping aside for the next owner, which may be cut off too and moves the connections.

Change: a claim that the store does not answer is made by another live host over the same service that carries statements; the promotion goes through the host that holds the lease. A claim now names its holder. Claims wait 1.7 s for an answer, which covers a call without a connection and the same through another host.

--- a/crates/decide/src/fenced/succession.rs
+++ b/crates/decide/src/fenced/succession.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use goldcrest_types::{
-    EndpointIx, Mark, Moment, Name, Received, Role, StoreError, StoreNotice, SuccessionCommand,
-    Term,
+    Claim, EndpointIx, Mark, Moment, Name, Received, Role, StoreError, StoreNotice,
+    SuccessionCommand, Term,
 };
 use smallvec::SmallVec;
 
@@ -35,8 +35,9 @@
 /// How long a planned change waits for the successor to receive all that the leader holds.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// How long an answer of the platform is awaited before the step is repeated.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_200);
+/// How long an answer of the platform is awaited before the step is repeated: a call that gets no
+/// connection (0.6 s), and the same through another host.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_700);
 
 /// How long a promoted endpoint is given to prove that it leads: three times the longest promotion
 /// in use (1 s).
@@ -77,7 +78,7 @@
 
 #[derive(Debug, Clone)]
 struct Survey {
-    token: u64,
+    claim: Claim,
     asked: Moment,
     first: Option<Moment>,
     reports: SmallVec<[(EndpointIx, Received); 4]>,
@@ -208,9 +209,9 @@
             (StoreNotice::Claimed(Err(StoreError::Replaced(name))), Stage::Claiming) => {
                 self.follow_promoted(name, now);
             }
-            (StoreNotice::Claimed(Ok(token)), Stage::Claiming) => {
+            (StoreNotice::Claimed(Ok(claim)), Stage::Claiming) => {
                 let survey = Survey {
-                    token,
+                    claim,
                     asked: Moment::ZERO,
                     first: None,
                     reports: SmallVec::new(),
@@ -269,8 +270,8 @@
             return self.succession.pause(FAILED_PAUSE, now);
         }
         if let Some(choice) = self.choose(survey, now) {
-            let token = survey.token;
-            return self.order(choice, token, now, out);
+            let claim = survey.claim.clone();
+            return self.order(choice, claim, now, out);
         }
         if waited >= SURVEY_GIVE_UP && survey.reports.is_empty() {
             return self.succession.pause(FAILED_PAUSE, now);
@@ -299,7 +300,7 @@
         (all || now.since(first) >= SURVEY_LIMIT).then_some(best.0)
     }
 
-    fn order(&mut self, endpoint: EndpointIx, token: u64, now: Moment, out: &mut Actions) {
+    fn order(&mut self, endpoint: EndpointIx, claim: Claim, now: Moment, out: &mut Actions) {
         let Some(member) = self.member(endpoint) else {
             return;
         };
@@ -309,7 +310,7 @@
         out.push(Action::Succession(SuccessionCommand::Promote {
             endpoint,
             name,
-            token,
+            claim,
         }));
     }
 
--- a/crates/decide/tests/fenced.rs
+++ b/crates/decide/tests/fenced.rs
@@ -5,8 +5,8 @@
 use cluster::{Stage, member};
 use goldcrest_decide::fenced::Event;
 use goldcrest_types::{
-    ConnectionNotice, EndpointIx, Kind, Lease, Mark, Moment, Name, OpenError, Received, RequestId,
-    Role, StoreError, StoreNotice, TxState, Verdict,
+    Claim, ConnectionNotice, EndpointIx, Kind, Lease, Mark, Moment, Name, OpenError, Received,
+    RequestId, Role, StoreError, StoreNotice, TxState, Verdict,
 };
 use rstest::rstest;
 
@@ -23,6 +23,14 @@
     stage
 }
 
+/// The lease that a survey works under.
+fn claim() -> Claim {
+    Claim {
+        holder: Name::from("host-1"),
+        token: 7,
+    }
+}
+
 #[test]
 fn a_read_of_the_latest_waits_for_a_sample_from_after_its_arrival() {
     let mut stage = ready();
@@ -163,7 +171,7 @@
 #[test]
 fn the_fullest_log_of_the_newest_term_is_promoted() {
     let mut stage = suspected();
-    stage.event("claimed", Event::Store(StoreNotice::Claimed(Ok(7))));
+    stage.event("claimed", Event::Store(StoreNotice::Claimed(Ok(claim()))));
     stage.notice(1, report(Role::Replica, Mark::new(2, 40)));
     let opened = stage.said();
     let link = opened
@@ -194,7 +202,7 @@
 #[test]
 fn a_refused_token_is_dropped() {
     let mut stage = suspected();
-    stage.event("claimed", Event::Store(StoreNotice::Claimed(Ok(7))));
+    stage.event("claimed", Event::Store(StoreNotice::Claimed(Ok(claim()))));
     stage.notice(1, report(Role::Replica, Mark::new(1, 40)));
     stage.wait(950);
     let outrun = StoreNotice::Promoted(EndpointIx(1), Err(StoreError::Outrun));
@@ -208,7 +216,7 @@
 fn a_lease_is_not_used_beyond_its_time() {
     let mut stage = suspected();
     stage.now = stage.now + goldcrest_decide::fenced::LEASE_USE;
-    stage.event("claimed", Event::Store(StoreNotice::Claimed(Ok(7))));
+    stage.event("claimed", Event::Store(StoreNotice::Claimed(Ok(claim()))));
     stage.notice(1, report(Role::Replica, Mark::new(1, 40)));
     stage.wait(1_000);
     assert!(!stage.said().contains("Promote"), "{}", stage.said());
@@ -236,7 +244,7 @@
         member("near", 1, false),
         member("far", 12, false),
     ]);
-    stage.event("claimed", Event::Store(StoreNotice::Claimed(Ok(7))));
+    stage.event("claimed", Event::Store(StoreNotice::Claimed(Ok(claim()))));
     stage.notice(0, report(Role::Replica, Mark::new(1, 12)));
     stage.notice(1, report(Role::Replica, Mark::new(1, 11)));
     stage.wait(60);
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -159,7 +159,7 @@
     context
 }
 
-async fn limited<F, T>(limit: Duration, call: F) -> Result<T, PeerError>
+pub(crate) async fn limited<F, T>(limit: Duration, call: F) -> Result<T, PeerError>
 where
     F: Future<Output = Result<T, tarpc::client::RpcError>>,
 {
--- a/crates/peers/src/relay/client.rs
+++ b/crates/peers/src/relay/client.rs
@@ -1,17 +1,32 @@
 //! The task of one connection to a host that runs statements for this one.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap, fmt::Debug, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
+use compio::net::TcpStream;
 use flume::{Receiver, Sender};
 use futures_util::{FutureExt, pin_mut, select_biased};
 use goldcrest_clock::Clock;
 use goldcrest_stream::{connect, detect_silence};
-use goldcrest_types::{Name, Pin, RelayCommand, RelayNotice, Reply, RequestId, Statement};
+use goldcrest_types::{
+    Name, Pin, RelayCommand, RelayNotice, Reply, RequestId, Statement, StoreNotice,
+    SuccessionCommand,
+};
 use spdlog::debug;
-use tarpc::{client::Config, context::Context, serde_transport, tokio_serde::formats::Bincode};
+use tarpc::{
+    client::{Config, NewClient},
+    context::Context,
+    serde_transport,
+    tokio_serde::formats::Bincode,
+};
 
 use super::{RelayServiceClient, Relayed};
-use crate::{client::deadline, service::framed};
+use crate::{
+    PeerError,
+    client::{deadline, limited},
+    service::framed,
+};
 
 /// How long a connection may take: several round trips within a region.
 const CONNECT_LIMIT: Duration = Duration::from_millis(200);
@@ -36,23 +51,14 @@
 ) where
     F: Fn(RelayNotice) + 'static,
 {
-    let socket = match connect(address, CONNECT_LIMIT).await {
+    let socket = match open(address).await {
         Ok(socket) => socket,
         Err(error) => {
             debug!("connecting to host {} failed: {}", address, error);
             return tell(RelayNotice::Closed(false));
         }
     };
-    let guarded = detect_silence(&socket).and_then(|()| socket.set_nodelay(true));
-    if let Err(error) = guarded {
-        debug!("the socket to host {} failed: {}", address, error);
-        return tell(RelayNotice::Closed(false));
-    }
-    let transport = serde_transport::new(framed(socket), Bincode::default());
-    let mut config = Config::default();
-    config.max_in_flight_requests = CALLS_LIMIT;
-    config.pending_request_buffer = CALLS_LIMIT;
-    let client = RelayServiceClient::new(config, transport);
+    let client = new_client(socket);
     let tell: Rc<dyn Fn(RelayNotice)> = Rc::new(tell);
     let mut connection = Connection {
         client: client.client,
@@ -68,7 +74,7 @@
         pin_mut!(command);
         select_biased! {
             ended = dispatch => {
-                debug!("the connection to host {} ended: {:?}", address, ended.err());
+                debug!("the connection to host {} ended: {:?}", address, ended);
                 return tell(RelayNotice::Closed(true));
             }
             got = command => match got {
@@ -79,6 +85,46 @@
     }
 }
 
+/// Has another host speak with the platform about a service's group.
+///
+/// # Errors
+///
+/// [`PeerError`] when no answer comes in time: the command may have been carried out.
+pub async fn succeed(
+    address: SocketAddr,
+    service: Name,
+    command: SuccessionCommand,
+    limit: Duration,
+) -> Result<StoreNotice, PeerError> {
+    let client = new_client(open(address).await?);
+    let dispatch = client.dispatch.fuse();
+    let answer = client.client.succeed(deadline(limit), service, command);
+    let answer = limited(limit, answer).fuse();
+    pin_mut!(dispatch, answer);
+    loop {
+        select_biased! {
+            got = answer => return got,
+            // The call learns of the end itself.
+            _ = dispatch => {}
+        }
+    }
+}
+
+async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = connect(address, CONNECT_LIMIT).await?;
+    detect_silence(&socket)?;
+    socket.set_nodelay(true)?;
+    Ok(socket)
+}
+
+fn new_client(socket: TcpStream) -> NewClient<RelayServiceClient, impl Future<Output: Debug>> {
+    let transport = serde_transport::new(framed(socket), Bincode::default());
+    let mut config = Config::default();
+    config.max_in_flight_requests = CALLS_LIMIT;
+    config.pending_request_buffer = CALLS_LIMIT;
+    RelayServiceClient::new(config, transport)
+}
+
 struct Connection {
     client: RelayServiceClient,
     service: Name,
--- a/crates/peers/src/relay/mod.rs
+++ b/crates/peers/src/relay/mod.rs
@@ -10,11 +10,15 @@
 
 use goldcrest_types::{
     Class, Floor, Head, Kind, Moment, Name, Opening, Pin, Reply, RequestId, Setting, Statement,
+    StoreNotice, SuccessionCommand,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-pub use self::{client::run, server::start};
+pub use self::{
+    client::{run, succeed},
+    server::{Hosted, start},
+};
 
 /// What hosts ask of each other for their sessions.
 #[tarpc::service]
@@ -23,6 +27,8 @@
     async fn run(service: Name, statement: Relayed) -> Reply;
     /// Rolls back an open transaction.
     async fn release(service: Name, pin: Pin);
+    /// Speaks with the platform about a service's group, for a host that can't reach it.
+    async fn succeed(service: Name, command: SuccessionCommand) -> StoreNotice;
     /// Shows that this host lives.
     async fn ping();
 }
--- a/crates/peers/src/relay/server.rs
+++ b/crates/peers/src/relay/server.rs
@@ -20,6 +20,7 @@
 };
 use goldcrest_types::{
     EndpointIx, Floor, Lease, Name, NotRun, Pin, Refusal, Reply, RequestId, SessionAsk, Statement,
+    StoreNotice, SuccessionCommand,
 };
 use spdlog::debug;
 use tarpc::{
@@ -43,22 +44,35 @@
 /// Replies that may wait to be written to one connection.
 const REPLIES_LIMIT: usize = 512;
 
-/// Where the statements of a service go, if this host knows it.
-pub type Find = Rc<dyn Fn(&str) -> Option<Sender<SessionAsk<Statement>>>>;
+/// Finds where the statements of a service go, if this host knows it.
+pub type Find = dyn Fn(&str) -> Option<Sender<SessionAsk<Statement>>>;
+
+/// What other hosts may use of this one.
+#[derive(Clone)]
+pub struct Hosted {
+    /// Where the statements of a service go.
+    pub find: Rc<Find>,
+    /// Speaks with the platform about a service, and tells what came of it.
+    pub succession: Rc<dyn Fn(Name, SuccessionCommand, Sender<StoreNotice>)>,
+}
 
 /// Listens for other hosts.
 ///
 /// # Errors
 ///
 /// When the address can't be used.
-pub async fn start(address: SocketAddr, clock: Clock, find: Find) -> io::Result<accept::Handle> {
+pub async fn start(
+    address: SocketAddr,
+    clock: Clock,
+    hosted: Hosted,
+) -> io::Result<accept::Handle> {
     accept::start(address, move |id, socket, orders| {
-        serve(id, socket, clock, Rc::clone(&find), orders)
+        serve(id, socket, clock, hosted.clone(), orders)
     })
     .await
 }
 
-async fn serve(id: u64, socket: TcpStream, clock: Clock, find: Find, orders: Receiver<Order>) {
+async fn serve(id: u64, socket: TcpStream, clock: Clock, hosted: Hosted, orders: Receiver<Order>) {
     let guarded = detect_silence(&socket).and_then(|()| socket.set_nodelay(true));
     if let Err(error) = guarded {
         return debug!("a host left at once: {}", error);
@@ -74,7 +88,7 @@
         .fuse();
     let mut guest = Guest {
         clock,
-        find,
+        hosted,
         numbers: Numbers::new(FIRST_SESSION + id),
         under_way: HashMap::new(),
         open: BTreeMap::new(),
@@ -96,6 +110,7 @@
 enum Call {
     Run(Name, Relayed, Sender<Reply>),
     Release(Name, Pin),
+    Succeed(Name, SuccessionCommand, Sender<StoreNotice>),
 }
 
 #[derive(Clone)]
@@ -116,6 +131,13 @@
         let _ = self.calls.send(Call::Release(service, pin));
     }
 
+    async fn succeed(self, _: Context, service: Name, command: SuccessionCommand) -> StoreNotice {
+        let unknown = command.unknown();
+        let (told, answer) = flume::bounded(1);
+        let _ = self.calls.send(Call::Succeed(service, command, told));
+        answer.recv_async().await.unwrap_or(unknown)
+    }
+
     async fn ping(self, _: Context) {}
 }
 
@@ -143,7 +165,7 @@
 /// The sessions of another host that run here.
 struct Guest {
     clock: Clock,
-    find: Find,
+    hosted: Hosted,
     numbers: Numbers,
     under_way: HashMap<RequestId, UnderWay>,
     /// The open transactions.
@@ -170,6 +192,9 @@
                     self.run(service, statement, reply);
                 }
                 Input::Call(Call::Release(service, pin)) => self.release(&service, pin),
+                Input::Call(Call::Succeed(service, command, told)) => {
+                    (self.hosted.succession)(service, command, told);
+                }
                 Input::Reply(reply) => self.reply(reply),
                 Input::Order(Order::Drain) => self.leaving = Some(Instant::now() + LINGER),
                 Input::Order(Order::Stop) | Input::Over => return,
@@ -200,7 +225,7 @@
     }
 
     fn run(&mut self, service: Name, statement: Relayed, reply: Sender<Reply>) {
-        let group = (self.find)(&service);
+        let group = (self.hosted.find)(&service);
         let refused = match (&group, self.leaving.is_some() && statement.pin.is_none()) {
             (_, true) => Some(NotRun::Stopping),
             (None, _) => Some(NotRun::Unreachable),
@@ -260,7 +285,7 @@
     }
 
     fn give_up(&self, service: &Name, pin: Pin) {
-        if let Some(group) = (self.find)(service) {
+        if let Some(group) = (self.hosted.find)(service) {
             // The group ends only with its host.
             let _ = group.send(SessionAsk::Release(pin.endpoint, pin.lease));
         }
@@ -269,7 +294,7 @@
     /// Ends what is still under way or open.
     fn leave(&mut self) {
         for (id, call) in std::mem::take(&mut self.under_way) {
-            if let Some(group) = (self.find)(&call.service) {
+            if let Some(group) = (self.hosted.find)(&call.service) {
                 // The group ends only with its host.
                 let _ = group.send(SessionAsk::Cancel(id));
             }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,7 +22,7 @@
     names::Name,
     request::{Class, Head, Kind, Request},
     statement::{
-        ConnectionCommand, ConnectionId, ConnectionNotice, Guard, OpenError, Opening, Ran,
+        Claim, ConnectionCommand, ConnectionId, ConnectionNotice, Guard, OpenError, Opening, Ran,
         Received, Setting, Statement, StoreError, StoreNotice, SuccessionCommand, Verdict,
     },
 };
--- a/crates/types/src/statement.rs
+++ b/crates/types/src/statement.rs
@@ -152,24 +152,46 @@
     Reported(Option<Received>),
 }
 
+/// A lease that was claimed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The host that holds it.
+    pub holder: Name,
+    /// Its fencing token.
+    pub token: u64,
+}
+
 /// An order to whoever speaks with the platform for a group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SuccessionCommand {
     /// Take the group's lease unless another host holds it, or has replaced this leader.
     Claim(Option<Name>),
-    /// Order the promotion of an endpoint under a fencing token.
+    /// Order the promotion of an endpoint under a claimed lease.
     Promote {
         /// The endpoint.
         endpoint: EndpointIx,
         /// The endpoint's name.
         name: Name,
-        /// The fencing token.
-        token: u64,
+        /// The lease.
+        claim: Claim,
     },
 }
 
+impl SuccessionCommand {
+    /// What is told of the command where its outcome is not known.
+    #[must_use]
+    pub const fn unknown(&self) -> StoreNotice {
+        match self {
+            Self::Claim(_) => StoreNotice::Claimed(Err(StoreError::Unknown)),
+            Self::Promote { endpoint, .. } => {
+                StoreNotice::Promoted(*endpoint, Err(StoreError::Unknown))
+            }
+        }
+    }
+}
+
 /// Why the platform did not do as asked.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub enum StoreError {
     /// Another host goes first.
     #[error("another host holds the lease, or a newer fencing token was seen")]
@@ -183,10 +205,10 @@
 }
 
 /// An answer of the platform for a group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreNotice {
-    /// The lease is taken under this fencing token, or not.
-    Claimed(Result<u64, StoreError>),
+    /// The lease is taken, or not.
+    Claimed(Result<Claim, StoreError>),
     /// The endpoint was promoted, or not.
     Promoted(EndpointIx, Result<(), StoreError>),
 }
