Tell the story of each failed request in one line, count spans in histograms, explain from logs

Cause: the on-call engineers have logs and metrics only. A refused request's line did not say where it had been sent, an endpoint's own failure had no line at all, and there were no latency histograms.

Change: a group's task keeps the tries of each request and writes them with its end (refused, failed at its endpoint, served slowly, and a sample of one served a second); sessions tell what they refuse themselves; a line and a histogram tell how long a group had no leader that answers. Histograms by service: requests by kind and outcome, queue, endpoint by role, leaderless. The limit on lines moved to goldcrest-observe; the group's task got a file of its own.

--- a/crates/fenced/src/decisions.rs
+++ b/crates/fenced/src/decisions.rs
@@ -5,53 +5,67 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use goldcrest_decide::fenced::{Cluster, Member};
-use goldcrest_types::{EndpointIx, Mark, Moment, Name, Refusal, Statement};
+use goldcrest_observe::Limit;
+use goldcrest_types::{EndpointIx, Mark, Moment, Name, Refusal, Statement, Verdict};
 use spdlog::{info, warn};
 
+use crate::story::Request;
+
 /// Lines of one kind in a second. At the heaviest load seen on the users' bench a host refuses
 /// some hundred requests a second.
 const LINES_A_SECOND: u32 = 25;
 
-/// The time for which lines are counted together.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Lines a second about requests that were served, as a sample of what is usual.
+const SERVED_A_SECOND: u32 = 1;
 
-/// Limits the lines of one kind.
-#[derive(Debug, Clone, Default)]
-struct Limit {
-    since: Moment,
-    lines: u32,
-    dropped: u32,
-}
+/// Lines a second about requests that were served slowly.
+const SLOW_A_SECOND: u32 = 5;
 
-impl Limit {
-    /// Whether a line may be written now, and how many were left out before it.
-    fn admit(&mut self, now: Moment) -> Option<u32> {
-        if now.since(self.since) >= WINDOW {
-            self.since = now;
-            self.lines = 0;
-        }
-        if self.lines >= LINES_A_SECOND {
-            self.dropped += 1;
-            return None;
-        }
-        self.lines += 1;
-        Some(std::mem::take(&mut self.dropped))
-    }
+/// The part of its time after which a request that was served counts as slow.
+const SLOW_PART: u32 = 2;
+
+/// A request that other hosts were to run.
+pub(crate) struct Relayed<'a> {
+    pub statement: &'a Statement,
+    pub service: &'a str,
+    /// The hosts that it was sent to.
+    pub hosts: &'a [Name],
+    /// Requests under way at other hosts.
+    pub running: usize,
 }
 
 /// Writes a group's decisions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Decisions {
     refused: Limit,
+    failed: Limit,
+    slow: Limit,
+    served: Limit,
     endpoints: Limit,
     lost: BTreeSet<EndpointIx>,
+    /// Since when there has been no leader that answers.
+    leaderless: Option<Moment>,
+}
+
+impl Default for Decisions {
+    fn default() -> Self {
+        Self {
+            refused: Limit::new(LINES_A_SECOND),
+            failed: Limit::new(LINES_A_SECOND),
+            slow: Limit::new(SLOW_A_SECOND),
+            served: Limit::new(SERVED_A_SECOND),
+            endpoints: Limit::new(LINES_A_SECOND),
+            lost: BTreeSet::new(),
+            leaderless: None,
+        }
+    }
 }
 
 impl Decisions {
     /// A request gets no answer of an endpoint.
     pub(crate) fn refused(
         &mut self,
-        statement: &Statement,
+        request: &Request,
         refusal: &Refusal,
         cluster: &Cluster,
         now: Moment,
@@ -59,7 +73,7 @@
         let Some(dropped) = self.refused.admit(now) else {
             return;
         };
-        let head = &statement.head;
+        let (statement, head) = (&request.statement, &request.statement.head);
         let (waiting, running) = cluster.load();
         info!("request refused: {}", refusal, kv: {
             request = statement.label.as_str(),
@@ -75,30 +89,82 @@
             waiting = waiting,
             running = running,
             share = cluster.plan().share,
+            tries = request.tries().as_str(),
             dropped = dropped,
         });
     }
 
-    /// A request gets no answer of the hosts that own its group.
-    pub(crate) fn relay_refused(
+    /// A request got an endpoint's answer.
+    pub(crate) fn answered(
         &mut self,
-        statement: &Statement,
-        refusal: &Refusal,
-        service: &str,
-        running: usize,
+        request: &Request,
+        verdict: &Verdict,
+        cluster: &Cluster,
         now: Moment,
     ) {
+        let head = &request.statement.head;
+        let took = now.since(head.arrived);
+        let slow = took * SLOW_PART >= head.deadline.since(head.arrived);
+        let (limit, what) = match verdict {
+            Verdict::Done if slow => (&mut self.slow, "request served slowly"),
+            Verdict::Done => (&mut self.served, "request served"),
+            _ => (&mut self.failed, "request failed at its endpoint"),
+        };
+        let Some(dropped) = limit.admit(now) else {
+            return;
+        };
+        let (waiting, running) = cluster.load();
+        info!("{}", what, kv: {
+            request = request.statement.label.as_str(),
+            service = cluster.plan().name.as_str(),
+            database = head.workspace.as_str(),
+            kind = format!("{:?}", head.kind).as_str(),
+            floor = format!("{:?}", head.floor).as_str(),
+            age_ms = milliseconds(head.age),
+            after_ms = milliseconds(Some(took)),
+            sample_age_ms = milliseconds(cluster.sample_age(now)),
+            waiting = waiting,
+            running = running,
+            tries = request.tries().as_str(),
+            dropped = dropped,
+        });
+    }
+
+    /// Looks whether the group has a leader that answers. Returns how long it had none, when it has
+    /// one again.
+    pub(crate) fn leadership(&mut self, cluster: &Cluster, now: Moment) -> Option<Duration> {
+        let healthy = cluster.leader().is_some_and(|m| !m.is_failing());
+        match (healthy, self.leaderless) {
+            (false, None) => self.leaderless = Some(now),
+            (true, Some(since)) => {
+                self.leaderless = None;
+                let span = now.since(since);
+                info!("leader answers", kv: {
+                    service = cluster.plan().name.as_str(),
+                    endpoint = leader(cluster).as_str(),
+                    without_ms = milliseconds(Some(span)),
+                });
+                return Some(span);
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// A request gets no answer of the hosts that own its group.
+    pub(crate) fn relay_refused(&mut self, relayed: &Relayed<'_>, refusal: &Refusal, now: Moment) {
         let Some(dropped) = self.refused.admit(now) else {
             return;
         };
-        let head = &statement.head;
+        let head = &relayed.statement.head;
         info!("relayed request refused: {}", refusal, kv: {
-            request = statement.label.as_str(),
-            service = service,
+            request = relayed.statement.label.as_str(),
+            service = relayed.service,
             database = head.workspace.as_str(),
             kind = format!("{:?}", head.kind).as_str(),
             after_ms = milliseconds(Some(now.since(head.arrived))),
-            running = running,
+            hosts = relayed.hosts.join(", ").as_str(),
+            running = relayed.running,
             dropped = dropped,
         });
     }
--- a/crates/fenced/src/relay.rs
+++ b/crates/fenced/src/relay.rs
@@ -16,9 +16,13 @@
 use goldcrest_types::{
     Floor, Name, Pin, Refusal, RelayCommand, RelayNotice, Reply, RequestId, SessionAsk, Statement,
 };
+use smallvec::SmallVec;
 use spdlog::{info, warn};
 
-use crate::{decisions::Decisions, directory::Owner};
+use crate::{
+    decisions::{Decisions, Relayed},
+    directory::Owner,
+};
 
 /// What the task of a connection to another host needs.
 pub struct HostLink {
@@ -110,13 +114,27 @@
     }
 }
 
+/// A connection to another host.
+struct Open {
+    host: Name,
+    commands: Sender<RelayCommand>,
+}
+
+/// A request that waits for its reply.
+struct Request {
+    statement: Arc<Statement>,
+    reply: Sender<Reply>,
+    /// The hosts that it was sent to.
+    hosts: SmallVec<[Name; 2]>,
+}
+
 struct Task {
     service: Name,
     relay: Relay,
     surroundings: Surroundings,
     addresses: BTreeMap<Name, SocketAddr>,
-    links: BTreeMap<LinkId, Sender<RelayCommand>>,
-    requests: HashMap<RequestId, (Arc<Statement>, Sender<Reply>)>,
+    links: BTreeMap<LinkId, Open>,
+    requests: HashMap<RequestId, Request>,
     held: HashMap<RequestId, Reply>,
     notices: Sender<(LinkId, RelayNotice)>,
     /// Where this host's own group replies.
@@ -143,7 +161,12 @@
         match ask {
             SessionAsk::Run(statement, reply) => {
                 let (head, opening) = (statement.head.clone(), statement.opening);
-                self.requests.insert(head.id, (statement, reply));
+                let request = Request {
+                    statement,
+                    reply,
+                    hosts: SmallVec::new(),
+                };
+                self.requests.insert(head.id, request);
                 self.step(Event::Ask(head, opening));
             }
             SessionAsk::Cancel(id) => {
@@ -230,7 +253,11 @@
             return tell(RelayNotice::Closed(false));
         };
         let (commands, ordered) = flume::unbounded();
-        self.links.insert(link, commands);
+        let open = Open {
+            host: host.clone(),
+            commands,
+        };
+        self.links.insert(link, open);
         (self.surroundings.connect)(HostLink {
             service: self.service.clone(),
             address: *address,
@@ -240,10 +267,14 @@
     }
 
     fn send(&mut self, link: LinkId, id: RequestId, pin: Option<Pin>) {
-        let Some((statement, _)) = self.requests.get(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let statement = Arc::clone(statement);
+        let host = self.links.get(&link).map(|open| open.host.clone());
+        request
+            .hosts
+            .push(host.unwrap_or_else(|| Name::from("this host")));
+        let statement = Arc::clone(&request.statement);
         if link != LinkId::OWN {
             return self.command(link, RelayCommand::Run(statement, pin));
         }
@@ -253,9 +284,9 @@
     }
 
     fn command(&self, link: LinkId, command: RelayCommand) {
-        if let Some(commands) = self.links.get(&link) {
+        if let Some(open) = self.links.get(&link) {
             // A connection that just ended tells so itself.
-            let _ = commands.send(command);
+            let _ = open.commands.send(command);
         }
     }
 
@@ -266,10 +297,14 @@
 
     fn refuse(&mut self, id: RequestId, refusal: Refusal) {
         let now = self.surroundings.clock.now();
-        if let Some((statement, _)) = self.requests.get(&id) {
-            let load = self.relay.load();
-            self.decisions
-                .relay_refused(statement, &refusal, &self.service, load, now);
+        if let Some(request) = self.requests.get(&id) {
+            let relayed = Relayed {
+                statement: &request.statement,
+                service: &self.service,
+                hosts: &request.hosts,
+                running: self.relay.load(),
+            };
+            self.decisions.relay_refused(&relayed, &refusal, now);
         }
         self.reply(Reply {
             id,
@@ -280,9 +315,9 @@
     }
 
     fn reply(&mut self, reply: Reply) {
-        if let Some((_, session)) = self.requests.remove(&reply.id) {
+        if let Some(request) = self.requests.remove(&reply.id) {
             // The session may be gone.
-            let _ = session.send(reply);
+            let _ = request.reply.send(reply);
         }
     }
 }
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,9 +1,13 @@
 //! Logs and metrics.
 
+mod limit;
 mod logs;
 mod meters;
+mod story;
 
 pub use crate::{
+    limit::Limit,
     logs::{LogError, LogForm, start_logs, start_output},
-    meters::{MeterError, Meters},
+    meters::{MeterError, Meters, Spans},
+    story::{Log, story},
 };
--- a/crates/observe/src/meters.rs
+++ b/crates/observe/src/meters.rs
@@ -1,6 +1,11 @@
 //! Metrics, by OpenTelemetry, on a page that scrapers read.
 
-use opentelemetry::{KeyValue, metrics::MeterProvider};
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Histogram, MeterProvider},
+};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use thiserror::Error;
@@ -19,6 +24,29 @@
     Page(#[from] prometheus::Error),
 }
 
+/// The upper bounds of a histogram's parts, in milliseconds: from a round trip within a zone to the
+/// longest time that a client waits. The targets and timeouts in use stand among them.
+const BOUNDS_MS: [f64; 14] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 600.0, 800.0, 1_200.0, 2_500.0, 8_000.0,
+];
+
+/// A histogram of spans of time.
+#[derive(Debug, Clone)]
+pub struct Spans(Histogram<f64>);
+
+impl Spans {
+    /// Counts a span.
+    pub fn record(&self, span: Duration, service: &str, labels: &[(&'static str, &'static str)]) {
+        let mut all = vec![KeyValue::new("service", service.to_owned())];
+        all.extend(
+            labels
+                .iter()
+                .map(|(key, value)| KeyValue::new(*key, *value)),
+        );
+        self.0.record(span.as_secs_f64() * 1000.0, &all);
+    }
+}
+
 /// The meters of a host.
 #[derive(Debug, Clone)]
 pub struct Meters {
@@ -43,6 +71,16 @@
         Ok(Self { registry, provider })
     }
 
+    /// A histogram of spans, in milliseconds.
+    #[must_use]
+    pub fn spans(&self, name: &'static str) -> Spans {
+        let meter = self.provider.meter(METER);
+        let histogram = meter
+            .f64_histogram(name)
+            .with_boundaries(BOUNDS_MS.to_vec());
+        Spans(histogram.build())
+    }
+
     /// Sets a value. A count that only grows has a name that ends in `_total`.
     pub fn set(&self, name: &'static str, database: Option<&str>, value: u64) {
         let gauge = self.provider.meter(METER).u64_gauge(name).build();
--- /dev/null
+++ b/crates/observe/src/story.rs
@@ -0,0 +1,106 @@
+//! Finds what the logs of several hosts tell of one request.
+
+use std::fmt::Write;
+
+use serde_json::{Map, Value};
+
+/// How long before a request's arrival lines about its service are shown, in milliseconds. A
+/// failover is suspected, ordered and settled within it.
+const BEFORE_MS: i64 = 4_000;
+
+/// A log with the name of the host that wrote it.
+#[derive(Debug, Clone)]
+pub struct Log {
+    /// The host, or the file's name.
+    pub host: String,
+    /// Its lines.
+    pub text: String,
+}
+
+/// A line of a log.
+struct Line<'a> {
+    host: &'a str,
+    at: i64,
+    payload: String,
+    fields: Map<String, Value>,
+}
+
+/// Tells in order what the logs hold of a request, with the lines about its service and about the
+/// store around it. Nothing is returned where no line names the request.
+#[must_use]
+pub fn story(request: &str, logs: &[Log]) -> Option<String> {
+    let mut lines: Vec<Line<'_>> = logs.iter().flat_map(read).collect();
+    lines.sort_by_key(|line| line.at);
+    let own: Vec<&Line<'_>> = lines.iter().filter(|l| l.names(request)).collect();
+    let first = own.iter().map(|l| l.at - l.number("after_ms")).min()?;
+    let last = own.iter().map(|l| l.at).max()?;
+    let services: Vec<&str> = own.iter().filter_map(|l| l.text("service")).collect();
+    let told = lines.iter().filter(|l| {
+        let near = l.at >= first - BEFORE_MS && l.at <= last;
+        l.names(request) || (near && l.is_context(&services))
+    });
+    let mut out = String::new();
+    for line in told {
+        line.render(first, &mut out);
+    }
+    Some(out)
+}
+
+/// Reads a log. Lines that are not JSON objects are passed over; what stands before the object, as
+/// in logs that were collected, names the host in its last word.
+fn read(log: &Log) -> impl Iterator<Item = Line<'_>> {
+    log.text.lines().filter_map(|text| {
+        let start = text.find('{')?;
+        let object: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
+        let host = text[..start].split_whitespace().next_back();
+        Some(Line {
+            host: host.unwrap_or(&log.host),
+            at: object.get("timestamp")?.as_i64()?,
+            payload: object.get("payload")?.as_str()?.to_owned(),
+            fields: object
+                .get("kv")
+                .and_then(Value::as_object)
+                .cloned()
+                .unwrap_or_default(),
+        })
+    })
+}
+
+impl Line<'_> {
+    fn text(&self, key: &str) -> Option<&str> {
+        self.fields.get(key)?.as_str()
+    }
+
+    fn number(&self, key: &str) -> i64 {
+        let number = self.fields.get(key).and_then(Value::as_i64);
+        number.unwrap_or_default().max(0)
+    }
+
+    fn names(&self, request: &str) -> bool {
+        self.text("request") == Some(request)
+    }
+
+    /// Whether the line tells of no request, and of one of these services or of no service at all.
+    fn is_context(&self, services: &[&str]) -> bool {
+        let about = self.text("service");
+        !self.fields.contains_key("request") && about.is_none_or(|s| services.contains(&s))
+    }
+
+    fn render(&self, start: i64, out: &mut String) {
+        // Writing to a string can't fail.
+        let _ = write!(
+            out,
+            "{:>6} ms {}: {}",
+            self.at - start,
+            self.host,
+            self.payload
+        );
+        for (key, value) in &self.fields {
+            let _ = match value.as_str() {
+                Some(text) => write!(out, "\n          {key} = {text}"),
+                None => write!(out, "\n          {key} = {value}"),
+            };
+        }
+        out.push('\n');
+    }
+}
--- /dev/null
+++ b/crates/observe/tests/stories.rs
@@ -0,0 +1,31 @@
+//! What logs tell of one request.
+
+use goldcrest_observe::{Log, story};
+
+const FIRST: &str = r#"{"level":"info","timestamp":1000,"payload":"leader known","kv":{"service":"svc","endpoint":"e-1","term":1}}
+not a log line
+{"level":"warn","timestamp":5200,"payload":"endpoint lost","kv":{"service":"svc","endpoint":"e-1","position":"1.7"}}
+{"level":"warn","timestamp":5250,"payload":"endpoint lost","kv":{"service":"other","endpoint":"e-9","position":"1.2"}}
+{"level":"info","timestamp":6010,"payload":"request refused: not run","kv":{"request":"q7","service":"svc","after_ms":790,"tries":"e-1 (leader) sent at 2 ms, connection lost at 300 ms"}}
+{"level":"info","timestamp":6020,"payload":"request refused: not run","kv":{"request":"q8","service":"svc","after_ms":700}}
+{"level":"info","timestamp":9000,"payload":"leader answers","kv":{"service":"svc","without_ms":3800}}"#;
+
+const SECOND: &str = r#"  5.9 front-2 {"level":"info","timestamp":5900,"payload":"succession: Claim(Some(\"e-1\"))","kv":{"service":"svc"}}
+  6.0 front-2 {"level":"warn","timestamp":6001,"payload":"the store is away, asked about op: no answer","kv":{}}"#;
+
+fn logs() -> [Log; 2] {
+    [("front-1", FIRST), ("collected.log", SECOND)].map(|(host, text)| Log {
+        host: host.to_owned(),
+        text: text.to_owned(),
+    })
+}
+
+#[test]
+fn a_request_is_told_with_what_happened_around_it() {
+    insta::assert_snapshot!(story("q7", &logs()).unwrap_or_default());
+}
+
+#[test]
+fn a_request_that_no_line_names_has_no_story() {
+    assert!(story("q9", &logs()).is_none());
+}
--- a/src/commands/show.rs
+++ b/src/commands/show.rs
@@ -1,5 +1,9 @@
 //! Shows what hosts say.
 
+use std::fs;
+
+use anyhow::Context;
+use goldcrest_observe::{Log, story};
 use goldcrest_operators::{Explained, HostStatus};
 use serde_json::to_string_pretty;
 
@@ -39,8 +43,11 @@
     Ok(())
 }
 
-/// Prints where a read would go.
+/// Prints where a read would go, or what logs tell of a request.
 pub fn explain(options: &ExplainOptions) -> anyhow::Result<()> {
+    if !options.log.is_empty() {
+        return tell_story(&options.subject, &options.log);
+    }
     let wrong = || {
         UsageError(format!(
             "--floor: \"{}\" is no TERM:POSITION",
@@ -51,7 +58,7 @@
     let term = term.parse().map_err(|_| wrong())?;
     let position = position.parse().map_err(|_| wrong())?;
     let explained = operate(&options.at, options.key.as_deref(), async |client| {
-        Ok(client.explain(&options.database, term, position).await?)
+        Ok(client.explain(&options.subject, term, position).await?)
     })?;
     if options.json {
         println!("{}", to_string_pretty(&explained)?);
@@ -59,11 +66,24 @@
     }
     match explained {
         Some(explained) => print_explained(&explained),
-        None => println!("there is no database {}", options.database),
+        None => println!("there is no database {}", options.subject),
     }
     Ok(())
 }
 
+fn tell_story(request: &str, files: &[String]) -> anyhow::Result<()> {
+    let read = |file: &String| {
+        let text = fs::read_to_string(file).with_context(|| format!("reading {file}"))?;
+        let host = file.clone();
+        Ok(Log { host, text })
+    };
+    let logs: Vec<Log> = files.iter().map(read).collect::<anyhow::Result<_>>()?;
+    let told = story(request, &logs);
+    let told = told.with_context(|| format!("no line of these logs names request {request}"))?;
+    print!("{told}");
+    Ok(())
+}
+
 fn print_explained(explained: &Explained) {
     match (&explained.chosen, explained.waits) {
         (Some(name), _) => println!("the read goes to {name}"),
--- a/src/options.rs
+++ b/src/options.rs
@@ -287,9 +287,16 @@
     /// Show help.
     #[options(help = "show this help")]
     pub help: bool,
-    /// The database.
-    #[options(free, required, help = "the database")]
-    pub database: String,
+    /// The database, or the request with `--log`.
+    #[options(free, required, help = "the database, or with --log the request's id")]
+    pub subject: String,
+    /// Logs to read in place of asking a host.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "a log of a host, may be repeated: tell the story of a request"
+    )]
+    pub log: Vec<String>,
     /// The floor.
     #[options(
         no_short,
