Keep a connection free for each host, so that hosts that lost power find room when they are back

Cause: after all hosts lose power an endpoint counts their dead connections for 3 s more.

Change: one connection for each host stays free, a third of them at most.

Test: room for the hosts after a loss of power (before: 1 and 2 connections for 6 and 8 hosts).

--- a/crates/decide/src/share/mod.rs
+++ b/crates/decide/src/share/mod.rs
@@ -6,9 +6,11 @@
 use goldcrest_types::Name;
 use smallvec::SmallVec;
 
-/// One connection in this many stays free, for a host that starts and for connections that a dead
-/// host has left behind.
-const RESERVE: usize = 12;
+/// The part of the connections that stays free at most: a third.
+const RESERVE_MOST: usize = 3;
+
+/// The part that stays free at least, for a host that starts.
+const RESERVE_LEAST: usize = 12;
 
 /// The demand of a host that has told none yet, in connections. One keeps newcomers small.
 const UNKNOWN_DEMAND: f64 = 1.0;
@@ -39,7 +41,7 @@
 /// may still open one, and the endpoint turns away what is too much.
 #[must_use]
 pub fn share(total: usize, hosts: &[Demand], host: &str) -> usize {
-    let usable = total - (total / RESERVE).min(total.saturating_sub(1));
+    let usable = total - reserve(total, hosts.len());
     let spare = usable.saturating_sub(hosts.len());
     let known = hosts.iter().any(|d| d.host == host);
     if spare == 0 || !known {
@@ -66,6 +68,15 @@
     1 + floor(own) + usize::from(extra)
 }
 
+/// The connections that stay free: one for each host.
+///
+/// Answers the load after a loss of power. An endpoint counts the dead connections of such hosts
+/// for some seconds more, and hosts that are back at once find room for one each meanwhile.
+fn reserve(total: usize, hosts: usize) -> usize {
+    let wanted = hosts.min(total / RESERVE_MOST).max(total / RESERVE_LEAST);
+    wanted.min(total.saturating_sub(1))
+}
+
 fn weight(demand: &Demand) -> f64 {
     if demand.need.is_finite() && demand.need > 0.0 {
         demand.need
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -30,6 +30,20 @@
     insta::assert_snapshot!(format!("shares_{name}"), format!("{needs:?} -> {shares:?}"));
 }
 
+#[rstest]
+#[case::cascade(16, 6)]
+#[case::verband(32, 8)]
+fn hosts_that_lost_power_at_once_find_room_for_most(#[case] total: usize, #[case] count: usize) {
+    let hosts = hosts(&vec![3.0; count]);
+    let held: usize = hosts.iter().map(|h| share(total, &hosts, &h.host)).sum();
+    // All dead connections are still counted when the hosts are back.
+    let room = total - held;
+    assert!(
+        room + 1 >= count,
+        "{room} connections are left for {count} hosts"
+    );
+}
+
 #[test]
 fn a_host_that_is_not_listed_holds_one() {
     assert_eq!(share(16, &hosts(&[1.0, 1.0]), "stranger"), 1);
