--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -8,6 +8,9 @@
 /// failover is suspected, ordered and settled within it.
 const BEFORE_MS: i64 = 4_000;
 
+/// How long after its end they are shown, so that the story tells when service came back.
+const AFTER_MS: i64 = 3_000;
+
 /// A log with the name of the host that wrote it.
 #[derive(Debug, Clone)]
 pub struct Log {
@@ -36,7 +39,7 @@
     let last = own.iter().map(|l| l.at).max()?;
     let services: Vec<&str> = own.iter().filter_map(|l| l.text("service")).collect();
     let told = lines.iter().filter(|l| {
-        let near = l.at >= first - BEFORE_MS && l.at <= last;
+        let near = l.at >= first - BEFORE_MS && l.at <= last + AFTER_MS;
         l.names(request) || (near && l.is_context(&services))
     });
     let mut out = String::new();
