--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use goldcrest_types::Name;
 use serde_json::{Map, Value};
 
 /// How long before a request's arrival lines about its service are shown, in milliseconds. A
@@ -15,7 +16,7 @@
 #[derive(Debug, Clone)]
 pub struct Log {
     /// The host, or the file's name.
-    pub host: String,
+    pub host: Name,
     /// Its lines.
     pub text: String,
 }
--- a/crates/observe/tests/stories.rs
+++ b/crates/observe/tests/stories.rs
@@ -1,6 +1,7 @@
 //! What logs tell of one request.
 
 use goldcrest_observe::{Log, story};
+use goldcrest_types::Name;
 
 const FIRST: &str = r#"{"level":"info","timestamp":1000,"payload":"leader known","kv":{"service":"svc","endpoint":"e-1","term":1}}
 not a log line
@@ -15,7 +16,7 @@
 
 fn logs() -> [Log; 2] {
     [("front-1", FIRST), ("collected.log", SECOND)].map(|(host, text)| Log {
-        host: host.to_owned(),
+        host: Name::from(host),
         text: text.to_owned(),
     })
 }
--- a/src/commands/show.rs
+++ b/src/commands/show.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use goldcrest_observe::{Log, story};
 use goldcrest_operators::{Explained, HostStatus};
+use goldcrest_types::Name;
 use serde_json::to_string_pretty;
 
 use crate::{
@@ -74,7 +75,7 @@
 fn tell_story(request: &str, files: &[String]) -> anyhow::Result<()> {
     let read = |file: &String| {
         let text = fs::read_to_string(file).with_context(|| format!("reading {file}"))?;
-        let host = file.clone();
+        let host = Name::from(file.as_str());
         Ok(Log { host, text })
     };
     let logs: Vec<Log> = files.iter().map(read).collect::<anyhow::Result<_>>()?;
