Read the binary parameters that drivers send, and refuse those that are not known

Cause: a driver sends the integer 1 as int2 in binary form; the stand-in read what it did not know as text, which matched nothing, so a query found no row and nobody was told. Ruled out: the front, which passes parameters unread.

Change: int2, float4, bool and the text types are read; other binary types are refused with 0A000. Left: the type of columns without a declared one, such as count(*), is still told as text.

--- a/crates/standins/src/database/session.rs
+++ b/crates/standins/src/database/session.rs
@@ -279,15 +279,16 @@
         let Some(parse) = self.statements.get(name) else {
             return Err(Failure::new("26000", "no such prepared statement"));
         };
-        let parameters = bind.parameters.iter().enumerate().map(|(i, bytes)| {
+        let read = bind.parameters.iter().enumerate().map(|(i, bytes)| {
             let format = format_of(&bind.parameter_format_codes, i);
             let oid = parse.type_oids.get(i).copied().unwrap_or(OID_TEXT);
             Value::from_wire(bytes.as_ref(), format, oid)
         });
+        let parameters = read.collect::<Result<_, Failure>>()?;
         let portal = Portal {
             statement: Statement {
                 sql: parse.query.clone(),
-                parameters: parameters.collect(),
+                parameters,
             },
             formats: bind.result_column_format_codes.clone(),
         };
--- a/crates/standins/src/database/values.rs
+++ b/crates/standins/src/database/values.rs
@@ -6,10 +6,17 @@
     types::{ToSqlOutput, ValueRef},
 };
 
+const OID_BOOL: u32 = 16;
+const OID_NAME: u32 = 19;
 pub(super) const OID_INT8: u32 = 20;
+const OID_INT2: u32 = 21;
 pub(super) const OID_INT4: u32 = 23;
 pub(super) const OID_TEXT: u32 = 25;
+const OID_JSON: u32 = 114;
+const OID_FLOAT4: u32 = 700;
 pub(super) const OID_FLOAT8: u32 = 701;
+const OID_BPCHAR: u32 = 1042;
+const OID_VARCHAR: u32 = 1043;
 
 /// The result format in which numbers are sent as bytes.
 const FORMAT_BINARY: i16 = 1;
@@ -35,22 +42,34 @@
         }
     }
 
-    /// Reads a parameter.
-    pub(super) fn from_wire(bytes: Option<&Bytes>, format: i16, oid: u32) -> Self {
+    /// Reads a parameter. One in a binary form that is not known is refused: read as text it would
+    /// match nothing, and nobody would be told.
+    pub(super) fn from_wire(bytes: Option<&Bytes>, format: i16, oid: u32) -> Result<Self, Failure> {
         let Some(bytes) = bytes else {
-            return Self::Null;
+            return Ok(Self::Null);
         };
         if format == FORMAT_BINARY {
-            match (oid, bytes.len()) {
-                (OID_INT8, 8) => return Self::Integer(i64::from_be_bytes(array(bytes))),
-                (OID_INT4, 4) => {
-                    return Self::Integer(i64::from(i32::from_be_bytes(array(bytes))));
-                }
-                (OID_FLOAT8, 8) => return Self::Real(f64::from_be_bytes(array(bytes))),
-                _ => {}
-            }
+            return Self::from_binary(bytes, oid);
         }
-        Self::Text(String::from_utf8_lossy(bytes).into_owned())
+        Ok(Self::Text(String::from_utf8_lossy(bytes).into_owned()))
+    }
+
+    fn from_binary(bytes: &Bytes, oid: u32) -> Result<Self, Failure> {
+        Ok(match (oid, bytes.len()) {
+            (OID_INT2, 2) => Self::Integer(i16::from_be_bytes(array(bytes)).into()),
+            (OID_INT4, 4) => Self::Integer(i32::from_be_bytes(array(bytes)).into()),
+            (OID_INT8, 8) => Self::Integer(i64::from_be_bytes(array(bytes))),
+            (OID_FLOAT4, 4) => Self::Real(f32::from_be_bytes(array(bytes)).into()),
+            (OID_FLOAT8, 8) => Self::Real(f64::from_be_bytes(array(bytes))),
+            (OID_BOOL, 1) => Self::Integer(bytes[0].into()),
+            (OID_TEXT | OID_VARCHAR | OID_BPCHAR | OID_NAME | OID_JSON, _) => {
+                Self::Text(String::from_utf8_lossy(bytes).into_owned())
+            }
+            _ => {
+                let text = format!("a binary parameter of type {oid} is not supported");
+                return Err(Failure::new("0A000", text));
+            }
+        })
     }
 
     /// Writes a column of a row.
