--- a/crates/fenced/src/decisions.rs
+++ b/crates/fenced/src/decisions.rs
@@ -9,7 +9,7 @@
 use goldcrest_types::{EndpointIx, Mark, Moment, Name, Refusal, Statement, Verdict};
 use spdlog::{info, warn};
 
-use crate::story::Request;
+use crate::trace::Request;
 
 /// Lines of one kind in a second. At the heaviest load seen on the users' bench a host refuses
 /// some hundred requests a second.
--- a/crates/fenced/src/group.rs
+++ b/crates/fenced/src/group.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     Account, Control, Ended, Handle, Link, Listed, Measured, Surroundings, decisions::Decisions,
-    relay, story::Request,
+    relay, trace::Request,
 };
 
 /// Starts a group's task on this thread's runtime.
--- a/crates/fenced/src/lib.rs
+++ b/crates/fenced/src/lib.rs
@@ -6,7 +6,7 @@
 mod group;
 mod measure;
 mod relay;
-mod story;
+mod trace;
 
 use std::{net::SocketAddr, rc::Rc};
 
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -3,11 +3,11 @@
 mod limit;
 mod logs;
 mod meters;
-mod story;
+mod trace;
 
 pub use crate::{
     limit::Limit,
     logs::{LogError, LogForm, start_logs, start_output},
     meters::{MeterError, Meters, Spans},
-    story::{Log, story},
+    trace::{Log, trace},
 };
--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/trace.rs
@@ -32,7 +32,7 @@
 /// Tells in order what the logs hold of a request, with the lines about its service and about the
 /// store around it. Nothing is returned where no line names the request.
 #[must_use]
-pub fn story(request: &str, logs: &[Log]) -> Option<String> {
+pub fn trace(request: &str, logs: &[Log]) -> Option<String> {
     let mut lines: Vec<Line<'_>> = logs.iter().flat_map(read).collect();
     lines.sort_by_key(|line| line.at);
     let own: Vec<&Line<'_>> = lines.iter().filter(|l| l.names(request)).collect();
--- a/crates/observe/tests/stories.rs
+++ b/crates/observe/tests/traces.rs
@@ -1,6 +1,6 @@
 //! What logs tell of one request.
 
-use goldcrest_observe::{Log, story};
+use goldcrest_observe::{Log, trace};
 use goldcrest_types::Name;
 
 const FIRST: &str = r#"{"level":"info","timestamp":1000,"payload":"leader known","kv":{"service":"svc","endpoint":"e-1","term":1}}
@@ -23,10 +23,10 @@
 
 #[test]
 fn a_request_is_told_with_what_happened_around_it() {
-    insta::assert_snapshot!(story("q7", &logs()).unwrap_or_default());
+    insta::assert_snapshot!(trace("q7", &logs()).unwrap_or_default());
 }
 
 #[test]
-fn a_request_that_no_line_names_has_no_story() {
-    assert!(story("q9", &logs()).is_none());
+fn a_request_that_no_line_names_has_no_trace() {
+    assert!(trace("q9", &logs()).is_none());
 }
--- a/crates/peers/src/relay/mod.rs
+++ b/crates/peers/src/relay/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::{
     client::{run, succeed},
-    server::{Hosted, start},
+    server::{Services, start},
 };
 
 /// What hosts ask of each other for their sessions.
--- a/crates/peers/src/relay/server.rs
+++ b/crates/peers/src/relay/server.rs
@@ -49,7 +49,7 @@
 
 /// What other hosts may use of this one.
 #[derive(Clone)]
-pub struct Hosted {
+pub struct Services {
     /// Where the statements of a service go.
     pub find: Rc<Find>,
     /// Speaks with the platform about a service, and tells what came of it.
@@ -64,15 +64,21 @@
 pub async fn start(
     address: SocketAddr,
     clock: Clock,
-    hosted: Hosted,
+    services: Services,
 ) -> io::Result<accept::Handle> {
     accept::start(address, move |id, socket, orders| {
-        serve(id, socket, clock, hosted.clone(), orders)
+        serve(id, socket, clock, services.clone(), orders)
     })
     .await
 }
 
-async fn serve(id: u64, socket: TcpStream, clock: Clock, hosted: Hosted, orders: Receiver<Order>) {
+async fn serve(
+    id: u64,
+    socket: TcpStream,
+    clock: Clock,
+    services: Services,
+    orders: Receiver<Order>,
+) {
     let guarded = detect_silence(&socket).and_then(|()| socket.set_nodelay(true));
     if let Err(error) = guarded {
         return debug!("a host left at once: {}", error);
@@ -86,9 +92,9 @@
         .execute(Server { calls }.serve())
         .for_each(|call| async move { compio::runtime::spawn(call).detach() })
         .fuse();
-    let mut guest = Guest {
+    let mut sessions = PeerSessions {
         clock,
-        hosted,
+        services,
         numbers: Numbers::new(FIRST_SESSION + id),
         under_way: HashMap::new(),
         open: BTreeMap::new(),
@@ -96,14 +102,14 @@
         leaving: None,
     };
     {
-        let worked = guest.work(called, orders).fuse();
+        let worked = sessions.work(called, orders).fuse();
         pin_mut!(served, worked);
         select_biased! {
             () = served => {}
             () = worked => {}
         }
     }
-    guest.leave();
+    sessions.leave();
 }
 
 /// A call of the connection's other side.
@@ -163,9 +169,9 @@
 }
 
 /// The sessions of another host that run here.
-struct Guest {
+struct PeerSessions {
     clock: Clock,
-    hosted: Hosted,
+    services: Services,
     numbers: Numbers,
     under_way: HashMap<RequestId, UnderWay>,
     /// The open transactions.
@@ -182,7 +188,7 @@
     Over,
 }
 
-impl Guest {
+impl PeerSessions {
     /// Carries out calls until the connection ends, or until nothing is left to do on a host that
     /// stops.
     async fn work(&mut self, calls: Receiver<Call>, orders: Receiver<Order>) {
@@ -193,7 +199,7 @@
                 }
                 Input::Call(Call::Release(service, pin)) => self.release(&service, pin),
                 Input::Call(Call::Succeed(service, command, told)) => {
-                    (self.hosted.succession)(service, command, told);
+                    (self.services.succession)(service, command, told);
                 }
                 Input::Reply(reply) => self.reply(reply),
                 Input::Order(Order::Drain) => self.leaving = Some(Instant::now() + LINGER),
@@ -225,7 +231,7 @@
     }
 
     fn run(&mut self, service: Name, statement: Relayed, reply: Sender<Reply>) {
-        let group = (self.hosted.find)(&service);
+        let group = (self.services.find)(&service);
         let refused = match (&group, self.leaving.is_some() && statement.pin.is_none()) {
             (_, true) => Some(NotRun::Stopping),
             (None, _) => Some(NotRun::Unreachable),
@@ -285,7 +291,7 @@
     }
 
     fn give_up(&self, service: &Name, pin: Pin) {
-        if let Some(group) = (self.hosted.find)(service) {
+        if let Some(group) = (self.services.find)(service) {
             // The group ends only with its host.
             let _ = group.send(SessionAsk::Release(pin.endpoint, pin.lease));
         }
@@ -294,7 +300,7 @@
     /// Ends what is still under way or open.
     fn leave(&mut self) {
         for (id, call) in std::mem::take(&mut self.under_way) {
-            if let Some(group) = (self.hosted.find)(&call.service) {
+            if let Some(group) = (self.services.find)(&call.service) {
                 // The group ends only with its host.
                 let _ = group.send(SessionAsk::Cancel(id));
             }
--- a/crates/peers/tests/relays.rs
+++ b/crates/peers/tests/relays.rs
@@ -7,7 +7,7 @@
 use goldcrest_clock::Clock;
 use goldcrest_peers::{
     Timer,
-    relay::{Hosted, run, start},
+    relay::{Services, run, start},
 };
 use goldcrest_stream::accept::Handle;
 use goldcrest_types::{
@@ -37,13 +37,13 @@
         let address: SocketAddr = format!("{ip}:7440").parse().unwrap();
         let clock = Clock::start();
         let (group, asks) = flume::unbounded();
-        let hosted = Hosted {
+        let services = Services {
             find: Rc::new(move |service| (service == "svc").then(|| group.clone())),
             succession: Rc::new(|_, command, told| {
                 let _ = told.send(command.unknown());
             }),
         };
-        let handle = start(address, clock, hosted).await.unwrap();
+        let handle = start(address, clock, services).await.unwrap();
         let (commands, ordered) = flume::unbounded();
         let (tell, notices) = flume::unbounded();
         let task = run(address, Name::from("svc"), clock, ordered, move |notice| {
@@ -176,7 +176,7 @@
     stage.run(None);
     let (second, _reply) = stage.asked().await;
     stage.commands = None;
-    let mut told = vec![stage.ask().await, stage.ask().await];
+    let mut told = [stage.ask().await, stage.ask().await];
     told.sort_by_key(|ask| matches!(ask, SessionAsk::Release(..)));
     assert!(matches!(told[0], SessionAsk::Cancel(id) if id == second.head.id));
     assert!(
--- a/src/commands/show.rs
+++ b/src/commands/show.rs
@@ -3,7 +3,7 @@
 use std::fs;
 
 use anyhow::Context;
-use goldcrest_observe::{Log, story};
+use goldcrest_observe::{Log, trace};
 use goldcrest_operators::{Explained, HostStatus};
 use goldcrest_types::Name;
 use serde_json::to_string_pretty;
@@ -44,10 +44,10 @@
     Ok(())
 }
 
-/// Prints where a read would go, or what logs tell of a request.
+/// Prints where a read would go, or the trace of a request in logs.
 pub fn explain(options: &ExplainOptions) -> anyhow::Result<()> {
     if !options.log.is_empty() {
-        return tell_story(&options.subject, &options.log);
+        return print_trace(&options.subject, &options.log);
     }
     let wrong = || {
         UsageError(format!(
@@ -72,14 +72,14 @@
     Ok(())
 }
 
-fn tell_story(request: &str, files: &[String]) -> anyhow::Result<()> {
+fn print_trace(request: &str, files: &[String]) -> anyhow::Result<()> {
     let read = |file: &String| {
         let text = fs::read_to_string(file).with_context(|| format!("reading {file}"))?;
         let host = Name::from(file.as_str());
         Ok(Log { host, text })
     };
     let logs: Vec<Log> = files.iter().map(read).collect::<anyhow::Result<_>>()?;
-    let told = story(request, &logs);
+    let told = trace(request, &logs);
     let told = told.with_context(|| format!("no line of these logs names request {request}"))?;
     print!("{told}");
     Ok(())
--- a/src/options.rs
+++ b/src/options.rs
@@ -294,7 +294,7 @@
     #[options(
         no_short,
         meta = "FILE",
-        help = "a log of a host, may be repeated: tell the story of a request"
+        help = "a log of a host, may be repeated: print the trace of a request"
     )]
     pub log: Vec<String>,
     /// The floor.
