Count a connection's settings only once its endpoint has confirmed them

Cause: what a statement needs on its connection was recorded as in force when it was sent, and the answers never corrected the record. An endpoint that loses the lead inside a plain transaction refuses DEALLOC and PREPARE; the connection outlives the rollback with the old statement, and the next EXECUTE sends no PREPARE. Ruled out: names mixed up by the sessions, since the session's own state sent the right text each time. Change: Applied records the endpoint's answers; a refused change takes the name out of the record and has the connection reset before its next use outside of the transaction.

--- a/crates/decide/src/setup/mod.rs
+++ b/crates/decide/src/setup/mod.rs
@@ -7,40 +7,78 @@
 const PREPARED_LIMIT: usize = 32;
 
 /// The settings and prepared statements that are in force on a connection.
+///
+/// Only changes that the endpoint has confirmed are recorded. An endpoint may refuse a change, for
+/// instance in a transaction that failed when the endpoint was replaced as the primary.
 #[derive(Debug, Clone, Default)]
-pub struct Applied(SmallVec<[Setting; 4]>);
+pub struct Applied {
+    confirmed: SmallVec<[Setting; 4]>,
+    /// Whether the endpoint refused a change since the last reset, so that `confirmed` may be wrong.
+    uncertain: bool,
+}
 
-/// What to send on a connection before a statement.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Changes {
-    /// Whether to reset the connection first.
-    pub reset: bool,
-    /// The names of prepared statements to drop before they are prepared again.
-    pub drop: SmallVec<[Name; 2]>,
-    /// The statements that put the missing settings in force.
-    pub apply: SmallVec<[Name; 2]>,
+/// A message that changes what is in force on a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// Remove all settings and prepared statements.
+    Reset,
+    /// Drop the prepared statement of this name.
+    Drop(Name),
+    /// Put a setting in force.
+    Apply(Setting),
 }
 
+/// The messages to send on a connection before a statement, in order.
+pub type Changes = SmallVec<[Change; 2]>;
+
 impl Applied {
-    /// Puts `wanted` in force and returns what to send for that. Other session values are removed by
-    /// a reset, except inside a transaction, where a connection cannot be reset.
-    pub fn change(&mut self, wanted: &[Setting], in_transaction: bool) -> Changes {
-        let mut changes = Changes {
-            reset: !in_transaction && self.must_reset(wanted),
-            ..Changes::default()
-        };
-        if changes.reset {
-            self.0.clear();
+    /// Returns what to send so that `wanted` is in force. Other session values are removed by a
+    /// reset, except inside a transaction, where a connection cannot be reset.
+    #[must_use]
+    pub fn changes(&self, wanted: &[Setting], in_transaction: bool) -> Changes {
+        let reset = !in_transaction && self.must_reset(wanted);
+        let known: &[Setting] = if reset { &[] } else { &self.confirmed };
+        let mut changes = Changes::new();
+        if reset {
+            changes.push(Change::Reset);
         }
+        // Prepared statements of the same names go first, as a name can't be prepared twice.
         for setting in wanted {
-            if !self.0.contains(setting) {
-                self.apply(setting, &mut changes);
+            if let Some(Setting::Prepared(name, _)) = replaced(known, setting) {
+                changes.push(Change::Drop(name.clone()));
             }
         }
+        let missing = wanted.iter().filter(|s| !known.contains(s));
+        changes.extend(missing.cloned().map(Change::Apply));
         changes
     }
 
-    /// Whether the connection has values that `wanted` lacks, or too many settings.
+    /// Records the endpoint's answer to a change.
+    pub fn record(&mut self, change: &Change, accepted: bool) {
+        match change {
+            Change::Reset if accepted => *self = Self::default(),
+            Change::Reset => {}
+            Change::Drop(name) => self
+                .confirmed
+                .retain(|s| !matches!(s, Setting::Prepared(known, _) if known == name)),
+            Change::Apply(setting) => {
+                self.confirmed.retain(|s| !same_name(s, setting));
+                if accepted {
+                    self.confirmed.push(setting.clone());
+                }
+            }
+        }
+        self.uncertain |= !accepted;
+    }
+
+    /// Whether the endpoint refused a change since the last reset.
+    #[must_use]
+    pub fn is_uncertain(&self) -> bool {
+        self.uncertain
+    }
+
+    /// Whether the connection has values that `wanted` lacks, too many settings, or settings that are
+    /// not known for certain.
     fn must_reset(&self, wanted: &[Setting]) -> bool {
         let is_foreign = |s: &Setting| match s {
             Setting::Value(name, _) => !wanted
@@ -48,21 +86,17 @@
                 .any(|w| matches!(w, Setting::Value(other, _) if other == name)),
             Setting::Prepared(..) => false,
         };
-        self.0.len() > PREPARED_LIMIT || self.0.iter().any(is_foreign)
+        self.uncertain
+            || self.confirmed.len() > PREPARED_LIMIT
+            || self.confirmed.iter().any(is_foreign)
     }
+}
 
-    fn apply(&mut self, setting: &Setting, changes: &mut Changes) {
-        let known = self.0.iter().position(|s| same_name(s, setting));
-        if let Some(at) = known {
-            let old = self.0.remove(at);
-            if let Setting::Prepared(name, _) = old {
-                changes.drop.push(name);
-            }
-        }
-        self.0.push(setting.clone());
-        let (Setting::Value(_, text) | Setting::Prepared(_, text)) = setting;
-        changes.apply.push(text.clone());
-    }
+/// Returns the setting in `known` that has the name of `setting` and differs from it.
+fn replaced<'a>(known: &'a [Setting], setting: &Setting) -> Option<&'a Setting> {
+    known
+        .iter()
+        .find(|s| same_name(s, setting) && *s != setting)
 }
 
 fn same_name(a: &Setting, b: &Setting) -> bool {
--- a/crates/decide/tests/dialogues.rs
+++ b/crates/decide/tests/dialogues.rs
@@ -2,7 +2,7 @@
 
 use goldcrest_decide::{
     session_state::{ClientStatement, SessionState},
-    setup::Applied,
+    setup::{Applied, Change, Changes},
 };
 use goldcrest_types::{
     Answer, EndpointIx, Floor, Lease, Mark, Name, NotRun, Outcome, Pin, Refusal, Reply, RequestId,
@@ -112,24 +112,59 @@
     Setting::Prepared(Name::from(name), Name::from(text))
 }
 
+/// Plans the changes for `wanted` and records that the endpoint accepted them.
+fn apply(applied: &mut Applied, wanted: &[Setting], in_transaction: bool) -> Changes {
+    let changes = applied.changes(wanted, in_transaction);
+    for change in &changes {
+        applied.record(change, true);
+    }
+    changes
+}
+
 #[test]
 fn a_connection_has_exactly_the_values_of_the_session_that_it_serves() {
     let mut applied = Applied::default();
     let first = [value("a", "SET a 1"), prepared("p", "PREPARE p READ q")];
+    let other_text = [value("a", "SET a 1"), prepared("p", "PREPARE p WRITE z")];
     let changes = [
-        applied.change(&first, false),
-        applied.change(&first, false),
+        apply(&mut applied, &first, false),
+        apply(&mut applied, &first, false),
         // The same name, prepared with another text by a session with the same values.
-        applied.change(
-            &[value("a", "SET a 1"), prepared("p", "PREPARE p WRITE z")],
-            false,
-        ),
+        apply(&mut applied, &other_text, false),
         // Another value within an open transaction, in which nothing can be reset.
-        applied.change(&[value("a", "SET a 2")], true),
+        apply(&mut applied, &[value("a", "SET a 2")], true),
         // A session without values.
-        applied.change(&[], false),
-        applied.change(&[], false),
+        apply(&mut applied, &[], false),
+        apply(&mut applied, &[], false),
     ];
     let lines: Vec<String> = changes.iter().map(|c| format!("{c:?}")).collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// A refused change that counts as in force lets a statement run with another session's settings.
+#[test]
+fn a_connection_is_reset_after_its_endpoint_refused_a_setting() {
+    let mut applied = Applied::default();
+    let first = [value("a", "SET a 1"), prepared("p", "PREPARE p READ q")];
+    let second = [value("a", "SET a 2"), prepared("p", "PREPARE p READ z")];
+    apply(&mut applied, &first, false);
+    let mut lines = Vec::new();
+    let refused = applied.changes(&second, true);
+    for change in &refused {
+        applied.record(change, false);
+    }
+    lines.push(format!("refused {refused:?}"));
+    lines.push(format!(
+        "then in the transaction {:?}",
+        applied.changes(&second, true)
+    ));
+    let reset = applied.changes(&first, false);
+    applied.record(&Change::Reset, false);
+    lines.push(format!("after it {reset:?}"));
+    lines.push(format!(
+        "after a refused reset {:?}",
+        apply(&mut applied, &first, false)
+    ));
+    lines.push(format!("then {:?}", apply(&mut applied, &first, false)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/crates/types/src/statement.rs
+++ b/crates/types/src/statement.rs
@@ -90,8 +90,8 @@
     Failed(Name),
     /// It did not run, for a reason that applies at every endpoint.
     Refused(Name),
-    /// It ran, but the endpoint was found to be no longer the primary afterwards, so its effect may
-    /// be lost.
+    /// It ran, but its answer can't be relied on: the endpoint was found to be no longer the primary
+    /// afterwards, so the effect may be lost, or it had refused settings that the statement needs.
     Unconfirmed,
 }
 
