Take a late answer's log position from when its own attempt was sent

Callers read, on routes that promise the latest data, from a log that lacked commits acknowledged before the read (STALE).

Cause: a read that is not answered within 350 ms is sent again. If the first attempt's answer arrives after all, it proves that its endpoint led, and its position was recorded as asked for when the second attempt was sent, or, while that one still waited, when the answer arrived. Reads that came in between took the older position for their floor and ran on a replica. Ruled out: a wrong time of probes, which is held by the state of their connection, and the PostgreSQL front, which keeps a round's time with its reports. Change: the request takes the time at which the attempt that was answered was sent. Late answers also no longer count as the time that a statement usually takes at an endpoint. Test: fenced::a_late_answer_proves_the_leaders_position_only_from_its_own_attempt_on (the second attempt runs, or still waits).

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    Action, Actions, FencedGroup, RunningRequest,
+    Action, Actions, FencedGroup, READ_RETRY_TIMEOUT, RunningRequest,
     members::{Connection, ConnectionState},
 };
 
@@ -167,7 +167,7 @@
         now: Timestamp,
         out: &mut Actions,
     ) {
-        let Some(run) = self.take_running(connection, id, result, now) else {
+        let Some(run) = self.take_running(connection, id, result) else {
             return self.late_answer(connection, id, result, now, out);
         };
         let in_transaction = result.tx != TxState::Idle;
@@ -209,10 +209,9 @@
         connection: ConnectionId,
         id: RequestId,
         result: &StatementResult,
-        now: Timestamp,
     ) -> Option<RunningRequest> {
         let Some(current) = self.running.get(&id).map(|run| run.connection) else {
-            return self.take_waiting(connection, id, result, now);
+            return self.take_waiting(connection, id, result);
         };
         if current == connection {
             return self.running.remove(&id);
@@ -220,10 +219,10 @@
         if result.verdict != Verdict::Done {
             return None;
         }
-        let endpoint = self.endpoint_of(connection)?;
+        let (endpoint, sent_at) = self.earlier_attempt(connection)?;
         let mut run = self.running.remove(&id)?;
         self.set_state(current, ConnectionState::Abandoned(run.sent_at));
-        (run.connection, run.endpoint) = (connection, endpoint);
+        (run.connection, run.endpoint, run.sent_at) = (connection, endpoint, sent_at);
         Some(run)
     }
 
@@ -233,20 +232,29 @@
         connection: ConnectionId,
         id: RequestId,
         result: &StatementResult,
-        now: Timestamp,
     ) -> Option<RunningRequest> {
         let at = self.waiting.iter().position(|w| w.head.id == id)?;
-        let endpoint = self.endpoint_of(connection)?;
+        let (endpoint, sent_at) = self.earlier_attempt(connection)?;
         (result.verdict == Verdict::Done).then(|| RunningRequest {
             request: self.waiting.remove(at),
             endpoint,
             connection,
             lease: Lease(id.0),
             guard: Guard::None,
-            sent_at: now,
+            sent_at,
         })
     }
 
+    /// Returns the endpoint of an attempt that was given up on this connection, and when it was sent.
+    ///
+    /// A log position in its answer is known to be current only from then on.
+    fn earlier_attempt(&self, connection: ConnectionId) -> Option<(EndpointIx, Timestamp)> {
+        let ConnectionState::Abandoned(sent_at) = self.connection(connection)?.state else {
+            return None;
+        };
+        Some((self.endpoint_of(connection)?, sent_at))
+    }
+
     /// Discards an answer whose request is no longer running. A transaction that it left open is
     /// rolled back.
     fn late_answer(
@@ -281,14 +289,22 @@
                 _ => self.counts.primary_reads += 1,
             }
         }
+        self.record_times(run, now);
+        deliver(run, result, out);
+    }
+
+    /// Records how long a statement took. A late answer shows an outage instead.
+    fn record_times(&mut self, run: &RunningRequest, now: Timestamp) {
         let elapsed = now.since(run.sent_at);
+        if run.may_retry_elsewhere() && elapsed > READ_RETRY_TIMEOUT {
+            return;
+        }
         let mut service_time = elapsed;
         if let Some(member) = self.member_mut(run.endpoint) {
             member.record_service_time(elapsed);
             service_time = elapsed.saturating_sub(member.info.latency * 2);
         }
         self.record_cost(&run.request.head.workspace, service_time);
-        deliver(run, result, out);
     }
 
     /// Retries a request that an endpoint did not run, unless it belongs to an open transaction.
--- a/crates/decide/tests/fenced.rs
+++ b/crates/decide/tests/fenced.rs
@@ -7,7 +7,7 @@
 use goldcrest_decide::fenced::Event;
 use goldcrest_types::{
     Claim, ConnectionNotice, EndpointIx, Kind, Lease, Mark, Name, OpenError, ReplicationStatus,
-    RequestId, Role, StoreError, StoreNotice, Timestamp, TxState, Verdict,
+    RequestId, Role, StatementResult, StoreError, StoreNotice, Timestamp, TxState, Verdict,
 };
 use rstest::rstest;
 
@@ -390,6 +390,42 @@
     insta::assert_snapshot!(harness.log());
 }
 
+/// The position in a late answer counted as asked for when the second attempt was sent, or when the
+/// answer arrived. A read of the latest data that had come in between was sent to a replica without it.
+#[rstest]
+#[case::second_attempt_runs("runs", true)]
+#[case::second_attempt_waits("waits", false)]
+fn a_late_answer_proves_the_leaders_position_only_from_its_own_attempt_on(
+    #[case] name: &str,
+    #[case] retried: bool,
+) {
+    let mut harness = ready();
+    harness.begin(2, Kind::Read);
+    harness.wait(10);
+    harness.read(3, 0);
+    harness.wait(360);
+    if retried {
+        harness.opened(2);
+    }
+    harness.wait(20);
+    harness.clear_log();
+    let result = StatementResult {
+        verdict: Verdict::Done,
+        body: bytes::Bytes::new(),
+        mark: Some(Mark::new(1, 6)),
+        led: true,
+        tx: TxState::Open,
+    };
+    let answer = ConnectionNotice::Answered(RequestId(2), result);
+    harness.notice(0, answer);
+    let log = harness.log();
+    assert!(
+        !log.contains("Run("),
+        "read 3 was served from an older position: {log}"
+    );
+    insta::assert_snapshot!(format!("late_answer_{name}"), log);
+}
+
 #[rstest]
 #[case::read("read", Kind::Read, goldcrest_types::TxStart::None)]
 #[case::first_of_transaction("first", Kind::Write, goldcrest_types::TxStart::ReadWrite)]
