Pause synchronous replicas before one of them is promoted

With SyncReplicas, callers lost commits that had been acknowledged (LOST): the replica that one host had promoted lacked them.

Cause: a commit is acknowledged once one replica has received it. A host that can't reach the primary asked the replicas for their positions while the primary went on committing, and what one of them received after its report was missing at the other, which was promoted. The survey also ended 0.9 s after the first report, left out replicas that shut down and count all the same, and SyncReplicas was not read from the configuration. New log lines tell what each replica reported, when, and whether it was paused. Ruled out: a choice by position alone, as terms go first. Change: decide::fenced::survey pauses the replicas once enough of them respond and counts only positions from after the pause; n - k + 1 of n replicas include one that has all. pausing.rs lets them receive again: after a survey without a result, after a promotion, never while an order's outcome is unknown, and where a host that is gone left them paused. Without synchronous replicas nothing changes.

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -34,9 +34,19 @@
             }
             ConnectionNotice::Probed(mark) => self.probed(endpoint, from, mark, now, out),
             ConnectionNotice::RolledBack => self.set_state(from, ConnectionState::Idle(now)),
-            ConnectionNotice::Reported(report) => {
+            ConnectionNotice::Reported(status) => {
                 self.set_state(from, ConnectionState::Idle(now));
-                self.record_report(endpoint, report, now);
+                self.record_report(endpoint, status, None, now);
+            }
+            ConnectionNotice::Paused(term, status) => {
+                self.set_state(from, ConnectionState::Idle(now));
+                self.record_report(endpoint, status, Some(term), now);
+            }
+            ConnectionNotice::Resumed(done) => {
+                self.set_state(from, ConnectionState::Idle(now));
+                if done {
+                    self.resumed(endpoint);
+                }
             }
         }
     }
@@ -281,6 +291,7 @@
         out: &mut Actions,
     ) {
         self.counts.answered += 1;
+        self.record_answered_write(run);
         if run.request.head.kind == Kind::Read {
             match run.guard {
                 Guard::Contains(_) if self.leader != Some(run.endpoint) => {
--- a/crates/decide/src/fenced/events.rs
+++ b/crates/decide/src/fenced/events.rs
@@ -22,7 +22,7 @@
     pub claims_primary: bool,
 }
 
-/// This host's part in serving the group.
+/// This host's part in serving the group, and the group's rule of replication.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Assignment {
     /// Connections that it may open to each endpoint.
@@ -32,6 +32,8 @@
     /// Whether it replaces a leader that is shutting down even when none of its clients uses the
     /// group.
     pub replaces_leaving: bool,
+    /// How many replicas must have received a commit before the leader acknowledges it.
+    pub sync_replicas: usize,
 }
 
 /// An event for a group.
@@ -70,6 +72,10 @@
     Rollback(ConnectionId),
     /// Request a report of the log position over a connection.
     Report(ConnectionId),
+    /// Make a replica stop receiving log entries, at this term.
+    Pause(ConnectionId, Term),
+    /// Make a replica receive log entries again.
+    Resume(ConnectionId),
     /// Order the endpoint to step down from all terms below this one.
     StepDown(ConnectionId, Term),
     /// Deliver the stored answer to the session.
--- a/crates/decide/src/fenced/membership.rs
+++ b/crates/decide/src/fenced/membership.rs
@@ -91,14 +91,17 @@
     /// down, or have been idle for too long. One connection per endpoint stays open.
     pub(super) fn close_idle(&mut self, now: Timestamp, out: &mut Actions) {
         let (share, drain) = (self.config.share, self.config.drain);
+        // A survey also pauses replicas that are shutting down.
+        let surveys = self.succession.is_active() || !self.succession.paused.is_empty();
+        let surveyed = self.sync_replicas > 0 && surveys;
         for member in &mut self.members {
             let limit = share + member.borrowed;
             let mut surplus = member.connections.len().saturating_sub(limit);
             let mut borrowed = member.connections.len().saturating_sub(share);
             let is_leader = self.leader == Some(member.ix);
-            let leaving = member
-                .leaving_since
-                .is_some_and(|at| !is_leader || (member.unlisted && now.since(at) >= drain));
+            let leaving = member.leaving_since.is_some_and(|at| {
+                (!is_leader && !surveyed) || (member.unlisted && now.since(at) >= drain)
+            });
             let mut beyond_one = member.connections.len().saturating_sub(1);
             member.connections.retain(|connection| {
                 let ConnectionState::Idle(since) = connection.state else {
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -10,9 +10,11 @@
 mod events;
 mod members;
 mod membership;
+mod pausing;
 mod requests;
 mod samples;
 mod succession;
+mod survey;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -154,6 +156,8 @@
     borrowable: usize,
     /// Whether a leader that is shutting down is replaced even without requests.
     replaces_leaving: bool,
+    /// Replicas that have received a commit before it is acknowledged.
+    sync_replicas: usize,
     budget: RetryBudget,
     /// Moving average of the time that a workspace's statements take at an endpoint.
     costs: BTreeMap<Name, Duration>,
@@ -185,6 +189,7 @@
             succession: Succession::default(),
             borrowable: 0,
             replaces_leaving: true,
+            sync_replicas: 0,
             budget: RetryBudget::new(),
             costs: BTreeMap::new(),
             counts: Counts::default(),
@@ -217,6 +222,7 @@
         self.assume_leader();
         self.expire(now, &mut out);
         self.advance_succession(now, &mut out);
+        self.resume_replicas(now, &mut out);
         self.dispatch_waiting(now, &mut out);
         self.probe_leader(now, &mut out);
         self.close_idle(now, &mut out);
@@ -320,6 +326,7 @@
         self.config.share = assignment.connections;
         self.borrowable = assignment.borrowable;
         self.replaces_leaving = assignment.replaces_leaving;
+        self.sync_replicas = assignment.sync_replicas;
     }
 
     /// Returns the number of connections that this host may open to an endpoint.
--- a/crates/decide/src/fenced/requests.rs
+++ b/crates/decide/src/fenced/requests.rs
@@ -161,7 +161,9 @@
         let Some(run) = self.running.get(&id) else {
             return;
         };
+        let run = run.clone();
         let (connection, endpoint, sent) = (run.connection, run.endpoint, run.sent_at);
+        self.record_unanswered(&run, now);
         // The connection stays open until the statement ends: setting up a new one would take a
         // slot of a busy endpoint.
         self.set_state(connection, ConnectionState::Abandoned(sent));
--- a/crates/decide/src/fenced/succession.rs
+++ b/crates/decide/src/fenced/succession.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use goldcrest_types::{
-    Claim, EndpointIx, Mark, Name, ReplicationStatus, Role, StoreError, StoreNotice,
-    SuccessionCommand, Term, Timestamp,
+    Claim, EndpointIx, Name, StoreError, StoreNotice, SuccessionCommand, Term, Timestamp,
 };
 use smallvec::SmallVec;
 
-use super::{Action, Actions, FencedGroup, Member, members::ConnectionState};
+use super::{
+    Action, Actions, FencedGroup, Member,
+    survey::{SURVEY_INTERVAL, Survey},
+};
 
 /// How long a leader may be unresponsive before it is suspected. Longer than TCP's second
 /// retransmission (0.6 s), so that one lost packet triggers no promotion.
@@ -23,19 +25,6 @@
 /// longest promotion in use (1 s), as another host may have ordered one.
 const LEADERLESS_LIMIT: Duration = Duration::from_millis(1_800);
 
-/// How long a survey waits for the reports of all candidates, once the first has arrived. Longer
-/// than it takes to notice and reopen a connection that was refused or dropped.
-const SURVEY_LIMIT: Duration = Duration::from_millis(900);
-
-/// How long a survey waits for the first report.
-const SURVEY_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Interval between the queries of a survey.
-const SURVEY_INTERVAL: Duration = Duration::from_millis(60);
-
-/// How long a planned switchover waits for the successor to receive the whole log of the leader.
-const CATCH_UP_LIMIT: Duration = Duration::from_millis(1_500);
-
 /// How long an answer of the platform is awaited before the attempt is abandoned. Long enough for a
 /// call that gets no connection (0.6 s) and a second one through another host.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_700);
@@ -49,7 +38,7 @@
 const CONFLICT_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause after a failed attempt.
-const FAILED_PAUSE: Duration = Duration::from_millis(400);
+pub(super) const FAILED_PAUSE: Duration = Duration::from_millis(400);
 
 /// How long a claimed lease may be used, counted from when the claim was sent. Half of the time for
 /// which other hosts respect it.
@@ -60,16 +49,19 @@
 
 /// Why a successor is sought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Reason {
+pub(super) enum Reason {
     /// The leader does not respond, or there is none.
     Failed,
     /// The leader is about to shut down. Holds the leader and the next term.
     Planned(EndpointIx, Term),
+    /// The leader responds, and its writes do not end: a host that is gone may have paused its
+    /// replicas. It is ordered to lead on, and the replicas to receive.
+    Stalled,
 }
 
 /// Current step of the succession.
 #[derive(Debug, Clone, Default)]
-enum Stage {
+pub(super) enum Stage {
     /// No attempt is in progress.
     #[default]
     Idle,
@@ -85,31 +77,25 @@
     Paused(Timestamp),
 }
 
-/// Reports of the candidates, gathered under a claimed lease.
-#[derive(Debug, Clone)]
-struct Survey {
-    claim: Claim,
-    last_query: Timestamp,
-    first_report: Option<Timestamp>,
-    reports: SmallVec<[(EndpointIx, ReplicationStatus); 4]>,
-    /// Log position of the leader when it stepped down.
-    leader_mark: Option<Mark>,
-    stepped_down: bool,
-}
-
 /// State of the succession.
 #[derive(Debug, Clone)]
 pub struct Succession {
-    stage: Stage,
-    reason: Reason,
+    pub(super) stage: Stage,
+    pub(super) reason: Reason,
     /// When the current stage began.
-    since: Timestamp,
+    pub(super) since: Timestamp,
     /// When the last claim was sent.
-    claimed_at: Timestamp,
+    pub(super) claimed_at: Timestamp,
     /// The leader that the platform last named, or that was last promoted.
-    last_leader: Option<Name>,
+    pub(super) last_leader: Option<Name>,
     /// The endpoint whose promotion was ordered without an answer. It may lead already.
-    unconfirmed: Option<EndpointIx>,
+    pub(super) unconfirmed: Option<EndpointIx>,
+    /// Replicas that may not receive, because a survey paused them.
+    pub(super) paused: SmallVec<[EndpointIx; 4]>,
+    /// When the replicas were last told to receive again.
+    pub(super) last_resume: Timestamp,
+    /// Since when the leader has left all writes unanswered.
+    pub(super) stalled_since: Option<Timestamp>,
 }
 
 impl Default for Succession {
@@ -121,6 +107,9 @@
             claimed_at: Timestamp::ZERO,
             last_leader: None,
             unconfirmed: None,
+            paused: SmallVec::new(),
+            last_resume: Timestamp::ZERO,
+            stalled_since: None,
         }
     }
 }
@@ -135,7 +124,7 @@
         self.since = now;
     }
 
-    fn pause(&mut self, duration: Duration, now: Timestamp) {
+    pub(super) fn pause(&mut self, duration: Duration, now: Timestamp) {
         self.enter(Stage::Paused(now + duration), now);
     }
 }
@@ -163,13 +152,15 @@
 
     pub(super) fn succession_wake(&self, now: Timestamp) -> Option<Timestamp> {
         let since = self.succession.since;
-        match &self.succession.stage {
+        let resume = self.resume_wake(now);
+        let advance = match &self.succession.stage {
             Stage::Idle => self.suspect_at().map(|at| at.max(now + SURVEY_INTERVAL)),
             Stage::Paused(until) => Some(*until),
             Stage::Claiming | Stage::Promoting => Some(since + STORE_TIMEOUT),
             Stage::Surveying(survey) => Some(survey.last_query + SURVEY_INTERVAL),
             Stage::AwaitingProof(_) => Some(self.last_search + super::SEARCH_INTERVAL),
-        }
+        };
+        advance.into_iter().chain(resume).min()
     }
 
     /// Returns when the current state becomes a reason to replace the leader.
@@ -185,8 +176,7 @@
         {
             return Some(Timestamp::ZERO);
         }
-        let since = leader.failing_since?;
-        (leader.failures() >= SUSPECT_FAILURES).then_some(since + SUSPECT_AFTER)
+        failed_at(leader).into_iter().chain(self.stalled_at()).min()
     }
 
     /// Claims the lease if there is reason to replace the leader and an endpoint can succeed it.
@@ -200,8 +190,10 @@
             Some(m) if m.leaving_since.is_some() => {
                 Reason::Planned(m.ix, newest.unwrap_or_default().next())
             }
+            Some(m) if failed_at(m).is_none_or(|at| at > now) => Reason::Stalled,
             _ => Reason::Failed,
         };
+        self.succession.stalled_since = None;
         self.succession.claimed_at = now;
         self.succession.enter(Stage::Claiming, now);
         let leader = self.leader().map(|m| m.name().clone());
@@ -215,7 +207,7 @@
     }
 
     /// Returns the endpoints that may succeed the leader.
-    fn candidates(&self) -> impl Iterator<Item = &Member> {
+    pub(super) fn candidates(&self) -> impl Iterator<Item = &Member> {
         let leader = self.leader;
         self.members
             .iter()
@@ -233,14 +225,7 @@
                 self.follow_promoted(name, now);
             }
             (StoreNotice::Claimed(Ok(claim)), Stage::Claiming) => {
-                let survey = Survey {
-                    claim,
-                    last_query: Timestamp::ZERO,
-                    first_report: None,
-                    reports: SmallVec::new(),
-                    leader_mark: None,
-                    stepped_down: false,
-                };
+                let survey = Survey::new(claim);
                 self.succession
                     .enter(Stage::Surveying(Box::new(survey)), now);
             }
@@ -280,6 +265,7 @@
     fn promotion_ordered(&mut self, endpoint: EndpointIx, now: Timestamp, out: &mut Actions) {
         self.succession.unconfirmed = None;
         self.succession.enter(Stage::AwaitingProof(endpoint), now);
+        self.expect_paused(endpoint);
         self.clear_leader(now);
         for member in &mut self.members {
             if member.ix == endpoint {
@@ -291,59 +277,8 @@
         self.probe(endpoint, now, out);
     }
 
-    /// Orders the promotion once a successor can be chosen, and requests reports until then.
-    fn advance_survey(&mut self, now: Timestamp, out: &mut Actions) {
-        let Stage::Surveying(survey) = &self.succession.stage else {
-            return;
-        };
-        let waited = now.since(self.succession.since);
-        if now.since(self.succession.claimed_at) > LEASE_USE {
-            return self.succession.pause(FAILED_PAUSE, now);
-        }
-        if let Some(choice) = self.choose_successor(survey, now) {
-            let claim = survey.claim.clone();
-            return self.order_promotion(choice, claim, now, out);
-        }
-        if waited >= SURVEY_TIMEOUT && survey.reports.is_empty() {
-            return self.succession.pause(FAILED_PAUSE, now);
-        }
-        if now.since(survey.last_query) >= SURVEY_INTERVAL {
-            self.request_reports(now, out);
-        }
-    }
-
-    /// Returns the candidate with the highest log position, once enough reports have arrived or the
-    /// wait for them is over.
-    ///
-    /// An endpoint whose promotion may have been carried out is chosen again, which changes nothing
-    /// where it leads. Promoting another one would roll back what it has acknowledged since.
-    fn choose_successor(&self, survey: &Survey, now: Timestamp) -> Option<EndpointIx> {
-        let first = survey.first_report?;
-        let reported = |ix: &EndpointIx| survey.reports.iter().any(|(from, _)| from == ix);
-        if let Some(ordered) = self.succession.unconfirmed.filter(reported) {
-            return Some(ordered);
-        }
-        if self.reported_leader(survey).is_some() {
-            // It is asked for a proof of leadership, which ends the succession.
-            return None;
-        }
-        let candidates = self.candidates().count();
-        let listed = |ix: EndpointIx| self.candidates().any(|m| m.ix == ix);
-        let best = survey
-            .reports
-            .iter()
-            .filter(|(ix, r)| listed(*ix) && r.role == Role::Replica)
-            .max_by_key(|(_, r)| r.held)?;
-        if let Reason::Planned(..) = self.succession.reason {
-            let waited = now.since(self.succession.since) >= CATCH_UP_LIMIT;
-            let caught_up = survey.leader_mark.is_some_and(|mark| best.1.held >= mark);
-            return (caught_up || waited).then_some(best.0);
-        }
-        let all = survey.reports.len() >= candidates;
-        (all || now.since(first) >= SURVEY_LIMIT).then_some(best.0)
-    }
-
-    fn order_promotion(
+    /// Orders the promotion of an endpoint under the claimed lease.
+    pub(super) fn order_promotion(
         &mut self,
         endpoint: EndpointIx,
         claim: Claim,
@@ -364,100 +299,13 @@
         }));
     }
 
-    /// Requests the log positions of the candidates, after ordering a leader that shuts down to
-    /// step down.
-    fn request_reports(&mut self, now: Timestamp, out: &mut Actions) {
-        let reason = self.succession.reason;
-        let Stage::Surveying(survey) = &mut self.succession.stage else {
-            return;
-        };
-        survey.last_query = now;
-        let step_down = match reason {
-            Reason::Planned(ix, term) if !survey.stepped_down => Some((ix, term)),
-            _ => None,
-        };
-        if let Some((ix, term)) = step_down {
-            self.send_query(ix, now, out, |connection| {
-                Action::StepDown(connection, term)
-            });
-        }
-        let reachable: SmallVec<[EndpointIx; 4]> = self
-            .candidates()
-            .filter(|m| m.may_try(now))
-            .map(|m| m.ix)
-            .collect();
-        let leading = match &self.succession.stage {
-            Stage::Surveying(survey) => self.reported_leader(survey),
-            _ => None,
-        };
-        for ix in reachable {
-            if leading == Some(ix) {
-                self.probe(ix, now, out);
-            } else {
-                self.send_query(ix, now, out, Action::Report);
-            }
-        }
-    }
-
-    /// Returns an endpoint that reported that it leads, and has not denied it since the survey began.
-    fn reported_leader(&self, survey: &Survey) -> Option<EndpointIx> {
-        let began = self.succession.since;
-        let denied = |ix: EndpointIx| {
-            let member = self.member(ix);
-            member.is_none_or(|m| m.denied_at.is_some_and(|at| at >= began))
-        };
-        let mut reports = survey.reports.iter();
-        let leading = reports.find(|(ix, r)| r.role == Role::Primary && !denied(*ix));
-        leading.map(|(ix, _)| *ix)
-    }
-
-    /// Sends a query over an idle connection. If there is none, opens a connection, and the next round
-    /// of queries uses it.
-    fn send_query<F>(&mut self, endpoint: EndpointIx, now: Timestamp, out: &mut Actions, query: F)
-    where
-        F: FnOnce(goldcrest_types::ConnectionId) -> Action,
-    {
-        let Some(member) = self.member(endpoint) else {
-            return;
-        };
-        let (idle, opening) = (member.idle(), member.opening());
-        match idle {
-            Some(connection) => {
-                self.set_state(connection, ConnectionState::Internal(now));
-                out.push(query(connection));
-            }
-            None if opening == 0 => self.open_connection(endpoint, now, out),
-            None => {}
-        }
-    }
-
-    /// Records a report of the survey. One of the leader in a planned switchover shows that it has
-    /// stepped down.
-    pub(super) fn record_report(
-        &mut self,
-        endpoint: EndpointIx,
-        report: Option<ReplicationStatus>,
-        now: Timestamp,
-    ) {
-        let reason = self.succession.reason;
-        let Stage::Surveying(survey) = &mut self.succession.stage else {
-            return;
-        };
-        let Some(report) = report else { return };
-        if matches!(reason, Reason::Planned(ix, _) if ix == endpoint) {
-            survey.stepped_down = true;
-            survey.leader_mark = Some(report.held);
-            return;
-        }
-        survey.first_report = survey.first_report.or(Some(now));
-        survey.reports.retain(|(ix, _)| *ix != endpoint);
-        survey.reports.push((endpoint, report));
-    }
-
     /// Ends the succession if it waits for this endpoint's proof, or if it was started for a failed
     /// leader and an endpoint leads again.
     pub(super) fn leader_proved(&mut self, endpoint: EndpointIx) {
-        self.succession.unconfirmed = None;
+        let ordered = self.succession.unconfirmed;
+        if self.sync_replicas == 0 || ordered == Some(endpoint) {
+            self.succession.unconfirmed = None;
+        }
         let resolved = match &self.succession.stage {
             Stage::AwaitingProof(promoted) => *promoted == endpoint,
             Stage::Claiming | Stage::Surveying(_) => self.succession.reason == Reason::Failed,
@@ -468,3 +316,9 @@
         }
     }
 }
+
+/// Returns when a leader that fails is suspected.
+fn failed_at(leader: &Member) -> Option<Timestamp> {
+    let since = leader.failing_since?;
+    (leader.failures() >= SUSPECT_FAILURES).then_some(since + SUSPECT_AFTER)
+}
--- a/crates/decide/tests/fenced.rs
+++ b/crates/decide/tests/fenced.rs
@@ -3,35 +3,14 @@
 
 mod fenced_group;
 
-use fenced_group::{Harness, member};
+use fenced_group::{Harness, claim, member, ready, report, suspected};
 use goldcrest_decide::fenced::Event;
 use goldcrest_types::{
-    Claim, ConnectionNotice, EndpointIx, Kind, Lease, Mark, Name, OpenError, ReplicationStatus,
-    RequestId, Role, StatementResult, StoreError, StoreNotice, Timestamp, TxState, Verdict,
+    Claim, ConnectionNotice, EndpointIx, Kind, Lease, Mark, Name, RequestId, Role, StatementResult,
+    StoreError, StoreNotice, Timestamp, TxState, Verdict,
 };
 use rstest::rstest;
 
-/// A group whose leader has an idle connection (0) and has just reported its position, and whose
-/// near replica has an idle connection (1).
-fn ready() -> Harness {
-    let mut harness = Harness::new();
-    harness.read(1, 0);
-    harness.opened(0);
-    harness.probed(0, Some(Mark::new(1, 5)));
-    harness.opened(1);
-    harness.answered(1, 1, Verdict::Done, TxState::Idle);
-    harness.clear_log();
-    harness
-}
-
-/// The lease that a survey runs under.
-fn claim() -> Claim {
-    Claim {
-        holder: Name::from("host-1"),
-        token: 7,
-    }
-}
-
 #[test]
 fn a_read_of_the_latest_data_waits_for_a_sample_from_after_its_arrival() {
     let mut harness = ready();
@@ -157,30 +136,6 @@
     insta::assert_snapshot!(harness.log());
 }
 
-/// Makes the leader unresponsive for long enough to be suspected, while replicas answer.
-fn suspected() -> Harness {
-    let mut harness = ready();
-    harness.write(2);
-    harness.notice(0, ConnectionNotice::Closed(Some((RequestId(2), true))));
-    harness.write(3);
-    harness.wait(200);
-    let mut connection = 2;
-    while !harness.log().contains("Claim") && connection < 12 {
-        harness.notice(
-            connection,
-            ConnectionNotice::OpenFailed(OpenError::Unreachable),
-        );
-        connection += 1;
-        harness.wait(400);
-    }
-    harness.clear_log();
-    harness
-}
-
-fn report(role: Role, held: Mark) -> ConnectionNotice {
-    ConnectionNotice::Reported(Some(ReplicationStatus { role, held }))
-}
-
 #[test]
 fn the_candidate_with_the_most_advanced_log_is_promoted() {
     let mut harness = suspected();
--- a/crates/decide/tests/fenced_group/mod.rs
+++ b/crates/decide/tests/fenced_group/mod.rs
@@ -2,13 +2,15 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod simulation;
+pub mod synchronous;
 
 use std::time::Duration;
 
 use goldcrest_decide::fenced::{Event, FencedGroup, GroupConfig, MemberInfo};
 use goldcrest_types::{
-    Class, ConnectionId, ConnectionNotice, EndpointIx, Floor, Kind, Lease, Mark, Name, Pin,
-    RequestHead, RequestId, StatementResult, Timestamp, TxStart, TxState, Verdict,
+    Claim, Class, ConnectionId, ConnectionNotice, EndpointIx, Floor, Kind, Lease, Mark, Name,
+    OpenError, Pin, ReplicationStatus, RequestHead, RequestId, Role, StatementResult, Term,
+    Timestamp, TxStart, TxState, Verdict,
 };
 
 /// A host's group with a simulated clock.
@@ -46,6 +48,62 @@
     }
 }
 
+/// A group whose leader has an idle connection (0) and has just reported its position, and whose
+/// near replica has an idle connection (1).
+pub fn ready() -> Harness {
+    let mut harness = Harness::new();
+    harness.read(1, 0);
+    harness.opened(0);
+    harness.probed(0, Some(Mark::new(1, 5)));
+    harness.opened(1);
+    harness.answered(1, 1, Verdict::Done, TxState::Idle);
+    harness.clear_log();
+    harness
+}
+
+/// The lease that a survey runs under.
+pub fn claim() -> Claim {
+    Claim {
+        holder: Name::from("host-1"),
+        token: 7,
+    }
+}
+
+/// Makes the leader unresponsive for long enough to be suspected, while replicas answer.
+pub fn suspected() -> Harness {
+    let mut harness = ready();
+    harness.write(2);
+    harness.notice(0, ConnectionNotice::Closed(Some((RequestId(2), true))));
+    harness.write(3);
+    harness.wait(200);
+    let mut connection = 2;
+    while !harness.log().contains("Claim") && connection < 12 {
+        harness.notice(
+            connection,
+            ConnectionNotice::OpenFailed(OpenError::Unreachable),
+        );
+        connection += 1;
+        harness.wait(400);
+    }
+    harness.clear_log();
+    harness
+}
+
+/// An endpoint's status that is not paused, at term 1.
+pub fn status(role: Role, held: Mark) -> ReplicationStatus {
+    ReplicationStatus {
+        role,
+        term: Term(1),
+        held,
+        paused: Term(0),
+    }
+}
+
+/// An endpoint's answer to a report command.
+pub fn report(role: Role, held: Mark) -> ConnectionNotice {
+    ConnectionNotice::Reported(Some(status(role, held)))
+}
+
 impl Harness {
     /// Creates a group with a distant leader (endpoint 0), a near replica (1) and a distant replica (2).
     pub fn new() -> Self {
--- a/crates/decide/tests/fenced_group/simulation.rs
+++ b/crates/decide/tests/fenced_group/simulation.rs
@@ -126,6 +126,7 @@
                 connections: *share,
                 borrowable,
                 replaces_leaving: true,
+                sync_replicas: 0,
             };
             self.step(host, Event::Assign(assignment), Timestamp::ZERO);
         }
--- a/crates/fenced/src/decision_log.rs
+++ b/crates/fenced/src/decision_log.rs
@@ -6,7 +6,9 @@
 
 use goldcrest_decide::fenced::{FencedGroup, Member};
 use goldcrest_observe::RateLimiter;
-use goldcrest_types::{EndpointIx, Mark, Name, Refusal, Statement, Timestamp, Verdict};
+use goldcrest_types::{
+    EndpointIx, Mark, Name, Refusal, ReplicationStatus, Statement, Timestamp, Verdict,
+};
 use spdlog::{info, warn};
 
 use crate::trace::Request;
@@ -43,6 +45,7 @@
     slow: RateLimiter,
     served: RateLimiter,
     endpoints: RateLimiter,
+    surveys: RateLimiter,
     /// Endpoints that were logged as lost.
     lost: BTreeSet<EndpointIx>,
     /// Time since which no leader has been answering.
@@ -57,6 +60,7 @@
             slow: RateLimiter::new(SLOW_LINES_PER_SECOND),
             served: RateLimiter::new(SERVED_LINES_PER_SECOND),
             endpoints: RateLimiter::new(LINES_PER_SECOND),
+            surveys: RateLimiter::new(LINES_PER_SECOND),
             lost: BTreeSet::new(),
             leaderless: None,
         }
@@ -184,6 +188,32 @@
         });
     }
 
+    /// Logs an endpoint's answer to a command of a survey: the positions from which the successor is
+    /// chosen, and whether the endpoint still receives.
+    pub(crate) fn replication_status(
+        &mut self,
+        service: &str,
+        endpoint: &str,
+        answer: &str,
+        status: Option<ReplicationStatus>,
+        now: Timestamp,
+    ) {
+        let Some(dropped) = self.surveys.admit(now) else {
+            return;
+        };
+        let held = mark(status.map(|s| s.held));
+        let role = status.map(|s| format!("{:?}", s.role)).unwrap_or_default();
+        info!("replication status: {}", answer, kv: {
+            service,
+            endpoint,
+            role = role.as_str(),
+            position = held.as_str(),
+            known_term = status.map_or(-1, |s| i64::try_from(s.term.0).unwrap_or(i64::MAX)),
+            paused_at = status.map_or(-1, |s| i64::try_from(s.paused.0).unwrap_or(i64::MAX)),
+            dropped,
+        });
+    }
+
     /// Logs endpoints that were lost or regained since the last call.
     pub(crate) fn check_endpoints(&mut self, group: &FencedGroup, now: Timestamp) {
         for member in group.members() {
--- a/crates/fenced/src/directory.rs
+++ b/crates/fenced/src/directory.rs
@@ -25,6 +25,15 @@
     pub timeout: Duration,
 }
 
+/// How a service's endpoints accept connections and replicate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceRules {
+    /// Connections that each endpoint accepts, from all hosts together.
+    pub connections: usize,
+    /// How many replicas must have received a commit before it is acknowledged.
+    pub sync_replicas: usize,
+}
+
 /// A complete configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Configuration {
@@ -32,8 +41,8 @@
     pub version: u64,
     /// Routes by database name.
     pub routes: BTreeMap<Name, Route>,
-    /// Connections that each endpoint of a service accepts, from all hosts together.
-    pub connections: BTreeMap<Name, usize>,
+    /// The rules of the services.
+    pub services: BTreeMap<Name, ServiceRules>,
     /// How long a transaction may stay idle.
     pub idle: Duration,
 }
@@ -100,6 +109,12 @@
 /// hosts may start at the same time.
 const INITIAL_SHARE: usize = 0;
 
+/// The rules of a service that the configuration does not name any more.
+const UNKNOWN_RULES: ServiceRules = ServiceRules {
+    connections: 1,
+    sync_replicas: 0,
+};
+
 /// How long after its start, when its clock is at zero, a host opens one connection to each
 /// endpoint. An endpoint drops a connection whose host has vanished after 3 s.
 const SETTLING_TIME: Duration = Duration::from_millis(3_500);
@@ -131,7 +146,7 @@
             configuration.routes.len(),
             self.configuration.version
         );
-        for service in configuration.connections.keys() {
+        for service in configuration.services.keys() {
             self.group(service);
         }
         self.configuration = Rc::new(configuration);
@@ -208,10 +223,11 @@
         let Some(hosts) = &self.hosts else { return };
         let candidates: Vec<Candidate> = hosts.iter().map(|h| h.candidate.clone()).collect();
         for (service, group) in &mut self.groups {
-            let total = self.configuration.connections.get(service);
-            let total = total.copied().unwrap_or(1);
+            let rules = self.configuration.services.get(service);
+            let rules = rules.copied().unwrap_or(UNKNOWN_RULES);
+            let total = rules.connections;
             let holders = holders(service, total, &candidates);
-            let (assignment, relayed) = assignment(&self.own, service, total, hosts, &holders);
+            let (assignment, relayed) = assignment(&self.own, service, rules, hosts, &holders);
             let owners = if relayed {
                 owners(&self.own, service, hosts, &candidates)
             } else {
@@ -272,7 +288,7 @@
 fn assignment(
     own: &Identity,
     service: &Name,
-    total: usize,
+    rules: ServiceRules,
     hosts: &[Peer],
     holders: &Holders,
 ) -> (Assignment, bool) {
@@ -280,12 +296,17 @@
         host: peer.candidate.host.clone(),
         need: peer.needs.get(service).copied().unwrap_or_default(),
     };
+    let ServiceRules {
+        connections: total,
+        sync_replicas,
+    } = rules;
     let Holders::Owners(owners) = holders else {
         let demands: Vec<Demand> = hosts.iter().map(demand).collect();
         let assignment = Assignment {
             connections: share(total, &demands, &own.host),
             borrowable: borrowable(total, demands.len()),
             replaces_leaving: true,
+            sync_replicas,
         };
         return (assignment, false);
     };
@@ -303,6 +324,7 @@
         connections: share(total, &demands, &holder),
         borrowable: borrowable(total, demands.len()),
         replaces_leaving: owns,
+        sync_replicas,
     };
     (assignment, !owns)
 }
--- a/crates/fenced/src/group.rs
+++ b/crates/fenced/src/group.rs
@@ -14,8 +14,8 @@
 use goldcrest_decide::fenced::{Action, Event, FencedGroup, GroupConfig};
 use goldcrest_types::{
     Answer, ConnectionCommand, ConnectionId, ConnectionNotice, EndpointIx, Floor, Guard, Name,
-    Outcome, Pin, Refusal, Reply, RequestId, Role, SessionCommand, Statement, StatementResult,
-    StoreNotice, SuccessionCommand, Timestamp, Verdict,
+    Outcome, Pin, Refusal, ReplicationStatus, Reply, RequestId, Role, SessionCommand, Statement,
+    StatementResult, StoreNotice, SuccessionCommand, Timestamp, Verdict,
 };
 use smallvec::SmallVec;
 use spdlog::info;
@@ -181,6 +181,14 @@
             ConnectionNotice::OpenFailed(_) => {
                 self.connections.remove(&id);
             }
+            ConnectionNotice::Reported(status) => self.log_status(id, "reported", *status),
+            ConnectionNotice::Paused(term, status) => {
+                self.log_status(id, &format!("pause at term {}", term.0), *status);
+            }
+            ConnectionNotice::Resumed(done) => {
+                let answer = if *done { "resumed" } else { "not resumed" };
+                self.log_status(id, answer, None);
+            }
             _ => {}
         }
         self.step(Event::Connection(id, notice));
@@ -197,6 +205,17 @@
         }
     }
 
+    /// Logs an endpoint's answer to a command of a survey.
+    fn log_status(&mut self, id: ConnectionId, answer: &str, status: Option<ReplicationStatus>) {
+        let Some(open) = self.connections.get(&id) else {
+            return;
+        };
+        let now = self.environment.clock.now();
+        let service = &self.group.config().name;
+        self.decision_log
+            .replication_status(service, &open.endpoint, answer, status, now);
+    }
+
     fn record_answer(&mut self, connection: ConnectionId, id: RequestId, result: &StatementResult) {
         let now = self.environment.clock.now();
         let attempt = self.requests.get_mut(&id);
@@ -242,6 +261,8 @@
             Action::Probe(id) => self.command(id, ConnectionCommand::Probe),
             Action::Rollback(id) => self.command(id, ConnectionCommand::Rollback),
             Action::Report(id) => self.command(id, ConnectionCommand::Report),
+            Action::Pause(id, term) => self.command(id, ConnectionCommand::Pause(term)),
+            Action::Resume(id) => self.command(id, ConnectionCommand::Resume),
             Action::StepDown(id, term) => self.command(id, ConnectionCommand::StepDown(term)),
             Action::Deliver { id, floor, pin } => self.deliver(id, floor, pin),
             Action::Discard(id) => {
--- a/crates/fenced/src/lib.rs
+++ b/crates/fenced/src/lib.rs
@@ -19,7 +19,7 @@
 };
 
 pub use crate::{
-    directory::{Configuration, Directory, Identity, Peer, Route, Target},
+    directory::{Configuration, Directory, Identity, Peer, Route, ServiceRules, Target},
     durations::{DurationKind, RecordDuration, RequestOutcome},
     group::start,
     relay::HostLink,
--- a/crates/fenced/tests/panics.rs
+++ b/crates/fenced/tests/panics.rs
@@ -8,12 +8,17 @@
 use goldcrest_decide::{fenced::MemberInfo, owners::Candidate, session_state::Freshness};
 use goldcrest_fenced::{
     Configuration, Directory, DiscoveredEndpoint, EndpointConnection, Environment, Identity, Peer,
-    Route,
+    Route, ServiceRules,
 };
 use goldcrest_types::{
     Class, Floor, Kind, Mark, Name, RequestHead, RequestId, SessionCommand, Statement, TxStart,
 };
 
+const RULES: ServiceRules = ServiceRules {
+    connections: 16,
+    sync_replicas: 0,
+};
+
 const WAIT: Duration = Duration::from_secs(5);
 
 fn address() -> SocketAddr {
@@ -68,7 +73,7 @@
     Configuration {
         version: 1,
         routes: [(Name::from("orders"), route)].into(),
-        connections: [(Name::from("svc"), 16)].into(),
+        services: [(Name::from("svc"), RULES)].into(),
         idle: WAIT,
     }
 }
@@ -148,7 +153,7 @@
     directory.update_hosts(peers.collect());
     let mut next = configuration();
     next.version = 2;
-    next.connections.insert(Name::from("new"), 16);
+    next.services.insert(Name::from("new"), RULES);
     let route = Route {
         service: Name::from("new"),
         ..next.routes["orders"].clone()
--- a/crates/types/src/statement.rs
+++ b/crates/types/src/statement.rs
@@ -71,6 +71,10 @@
     Rollback,
     /// Query the endpoint's role and log position.
     Report,
+    /// Make a replica stop receiving log entries. The term is above all known ones.
+    Pause(Term),
+    /// Make a replica receive log entries again.
+    Resume,
     /// Make the endpoint step down from all terms below this one.
     StepDown(Term),
 }
@@ -115,8 +119,12 @@
 pub struct ReplicationStatus {
     /// The endpoint's role in its group.
     pub role: Role,
+    /// The newest term that it knows.
+    pub term: Term,
     /// The last entry that its log holds.
     pub held: Mark,
+    /// The term of the pause command that keeps it from receiving. Zero if it receives.
+    pub paused: Term,
 }
 
 /// Why a connection could not be opened.
@@ -151,6 +159,11 @@
     RolledBack,
     /// The endpoint answered a report command. Carries its status if it could be read.
     Reported(Option<ReplicationStatus>),
+    /// The endpoint answered a pause command. Carries the term of the command, and the endpoint's
+    /// status if it could be read.
+    Paused(Term, Option<ReplicationStatus>),
+    /// The endpoint answered a resume command. The flag says whether it carried the command out.
+    Resumed(bool),
 }
 
 /// A lease on a group's succession that a host holds.
