Accept connections in a task that is never interrupted

Callers that closed a connection and opened another one at once found the new one reset before its first answer.

Cause: the listener waited for connections, commands and ends at the same time and began a new wait for a connection after each of them. A wait that had just received a socket was dropped with the socket when the end of another connection came first. Change: stream::accept::Sockets accepts in a task of its own and hands the sockets on. The PostgreSQL front had the same loop, and uses it too.

--- a/crates/frontend/src/accept.rs
+++ b/crates/frontend/src/accept.rs
@@ -5,8 +5,9 @@
 use compio::net::{TcpListener, TcpStream};
 use flume::{Receiver, Sender};
 use futures_util::{FutureExt, pin_mut, select_biased};
+use goldcrest_stream::accept::Sockets;
 use rand::Rng;
-use spdlog::{debug, warn};
+use spdlog::debug;
 
 use crate::{
     ClientError, FrontendCommand, FrontendConfig,
@@ -26,7 +27,6 @@
     Connection(TcpStream),
     Command(FrontendCommand),
     Event(Event),
-    AcceptFailed,
     Stopped,
 }
 
@@ -59,36 +59,30 @@
         admitting: false,
         draining: false,
     };
+    let sockets = Sockets::of(listener);
     loop {
-        match next_input(&listener, &commands, &event_receiver).await {
+        match next_input(&sockets, &commands, &event_receiver).await {
             Input::Connection(socket) => acceptor.start_client(socket),
             Input::Command(command) => acceptor.handle_command(command),
             Input::Event(event) => acceptor.handle_event(event),
-            Input::AcceptFailed => {}
             Input::Stopped => return,
         }
     }
 }
 
 async fn next_input(
-    listener: &TcpListener,
+    sockets: &Sockets,
     commands: &Receiver<FrontendCommand>,
     events: &Receiver<Event>,
 ) -> Input {
-    let connection = listener.accept().fuse();
+    let connection = sockets.next().fuse();
     let command = commands.recv_async().fuse();
     let event = events.recv_async().fuse();
     pin_mut!(connection, command, event);
     select_biased! {
         got = command => got.map_or(Input::Stopped, Input::Command),
         got = event => got.map_or(Input::Stopped, Input::Event),
-        got = connection => match got {
-            Ok((socket, _)) => Input::Connection(socket),
-            Err(error) => {
-                warn!("accepting a client connection failed: {}", error);
-                Input::AcceptFailed
-            }
-        },
+        got = connection => Input::Connection(got),
     }
 }
 
--- a/crates/stream/src/accept.rs
+++ b/crates/stream/src/accept.rs
@@ -1,8 +1,11 @@
 //! A listener that runs a task for each connection and shuts the connections down gracefully.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, future::pending, io, net::SocketAddr, time::Duration};
 
-use compio::net::{TcpListener, TcpStream};
+use compio::{
+    net::{TcpListener, TcpStream},
+    runtime::JoinHandle,
+};
 use flume::{Receiver, Sender};
 use futures_util::{FutureExt, pin_mut, select_biased};
 use spdlog::warn;
@@ -73,7 +76,7 @@
 }
 
 enum Input {
-    Accepted(io::Result<TcpStream>),
+    Accepted(TcpStream),
     Shutdown(Shutdown),
     Closed(u64),
     Stopped,
@@ -118,13 +121,10 @@
         shutdowns: Receiver<Shutdown>,
         closures: Receiver<u64>,
     ) {
+        let sockets = Sockets::of(listener);
         loop {
-            match next_input(&listener, &shutdowns, &closures).await {
-                Input::Accepted(Ok(socket)) => self.open(socket),
-                Input::Accepted(Err(error)) => {
-                    warn!("accepting a connection failed: {}", error);
-                    compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
+            match next_input(&sockets, &shutdowns, &closures).await {
+                Input::Accepted(socket) => self.open(socket),
                 Input::Shutdown(shutdown) => self.shut_down(shutdown),
                 Input::Closed(id) => self.remove(id),
                 Input::Stopped => return,
@@ -176,17 +176,64 @@
 }
 
 async fn next_input(
-    listener: &TcpListener,
+    sockets: &Sockets,
     shutdowns: &Receiver<Shutdown>,
     closures: &Receiver<u64>,
 ) -> Input {
-    let accepted = listener.accept().fuse();
+    let accepted = sockets.next().fuse();
     let shutdown = shutdowns.recv_async().fuse();
     let closed = closures.recv_async().fuse();
     pin_mut!(accepted, shutdown, closed);
     select_biased! {
         got = shutdown => got.map_or(Input::Stopped, Input::Shutdown),
         got = closed => got.map_or(Input::Stopped, Input::Closed),
-        got = accepted => Input::Accepted(got.map(|(socket, _)| socket)),
+        got = accepted => Input::Accepted(got),
+    }
+}
+
+/// The connections of a listener, which a task of its own accepts until this is dropped.
+///
+/// If another input ended the wait for a connection, one that had just been accepted would be lost.
+#[derive(Debug)]
+pub struct Sockets {
+    accepted: Receiver<TcpStream>,
+    _task: JoinHandle<()>,
+}
+
+impl Sockets {
+    /// Accepts the connections of `listener` on this thread's runtime.
+    #[must_use]
+    pub fn of(listener: TcpListener) -> Self {
+        let (sockets, accepted) = flume::unbounded();
+        let task = compio::runtime::spawn(accept_all(listener, sockets));
+        Self {
+            accepted,
+            _task: task,
+        }
+    }
+
+    /// Waits for the next connection. Dropping the future loses none.
+    pub async fn next(&self) -> TcpStream {
+        match self.accepted.recv_async().await {
+            Ok(socket) => socket,
+            // The task has failed: there are no more connections.
+            Err(_) => pending().await,
+        }
+    }
+}
+
+async fn accept_all(listener: TcpListener, accepted: Sender<TcpStream>) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                if accepted.send(socket).is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                warn!("accepting a connection failed: {}", error);
+                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
 }
