End sessions of a stopping host behind an answer, and keep watching signals

Around SIGTERM callers on open connections got no answer to requests that had run (LOST).

The runtime also restores a signal's default action when its last listener is gone: a second SIGTERM, or a SIGHUP while the settings were read, ended the process at once. Ruled out: the early exit, which waits for sessions that have a statement. The end of all connections is counted when it is asked for.

--- a/crates/peers/src/relay/server.rs
+++ b/crates/peers/src/relay/server.rs
@@ -41,6 +41,9 @@
 /// the connection at once, the other host could not know whether what it had just sent was run.
 const LINGER: Duration = Duration::from_millis(1_500);
 
+/// How long the last replies on a connection may take to be written.
+const REPLY_TIME: Duration = Duration::from_millis(100);
+
 /// The largest number of replies that wait to be written to one connection.
 const MAX_PENDING_REPLIES: usize = 512;
 
@@ -108,6 +111,7 @@
         open_transactions: BTreeMap::new(),
         replies: flume::unbounded(),
         close_at: None,
+        finish_at: None,
     };
     {
         let handled = sessions.handle_calls(received, shutdowns).fuse();
@@ -117,7 +121,7 @@
             () = handled => {}
         }
     }
-    sessions.close();
+    sessions.cancel_all();
 }
 
 /// A call of the host at the other end of the connection.
@@ -204,12 +208,16 @@
     replies: (Sender<Reply>, Receiver<Reply>),
     /// When the connection may close if it is idle; set once this host is stopping.
     close_at: Option<Instant>,
+    /// When all statements must have a reply; set once open transactions must end.
+    finish_at: Option<Instant>,
 }
 
 enum Input {
     Call(Call),
     Reply(Reply),
     Shutdown(Shutdown),
+    /// The time for the work in progress, or for more calls on an idle connection, is over.
+    Expired,
     Closed,
 }
 
@@ -234,18 +242,21 @@
                 }
                 Input::Reply(reply) => self.handle_reply(reply),
                 Input::Shutdown(Shutdown::Drain) => self.close_at = Some(Instant::now() + LINGER),
-                Input::Shutdown(Shutdown::Stop) | Input::Closed => return,
+                Input::Shutdown(Shutdown::Finish(end)) => self.finish(end),
+                Input::Expired if !self.pending.is_empty() => self.abandon_statements(),
+                Input::Expired | Input::Closed => return,
             }
         }
     }
 
-    /// Waits for the next input. Returns `Closed` once this host is stopping and the connection is
-    /// idle at `close_at` or later.
+    /// Waits for the next input, until `close_at` if the connection is idle, and else until
+    /// `finish_at`.
     async fn next_input(&self, calls: &Receiver<Call>, shutdowns: &Receiver<Shutdown>) -> Input {
         let input = self.wait_input(calls, shutdowns);
         let idle = self.pending.is_empty() && self.open_transactions.is_empty();
-        match self.close_at.filter(|_| idle) {
-            Some(end) => timeout_at(end, input).await.unwrap_or(Input::Closed),
+        let end = if idle { self.close_at } else { self.finish_at };
+        match end {
+            Some(end) => timeout_at(end, input).await.unwrap_or(Input::Expired),
             None => input.await,
         }
     }
@@ -293,6 +304,29 @@
         }
     }
 
+    /// Rolls back the open transactions in which no statement runs. The others end with their
+    /// statement, by `end`.
+    fn finish(&mut self, end: Instant) {
+        self.finish_at = Some(end);
+        self.close_at = Some(end.min(Instant::now() + LINGER));
+        let running: Vec<Lease> = self.pending.values().filter_map(|p| p.lease).collect();
+        let transactions = std::mem::take(&mut self.open_transactions);
+        for ((service, lease), endpoint) in transactions {
+            if running.contains(&lease) {
+                self.open_transactions.insert((service, lease), endpoint);
+            } else {
+                self.release_in_group(&service, Pin { endpoint, lease });
+            }
+        }
+    }
+
+    /// Replies to the statements that have not ended in time. The connection then stays open until
+    /// the other host has the replies.
+    fn abandon_statements(&mut self) {
+        self.cancel_all();
+        self.close_at = Some(Instant::now() + REPLY_TIME);
+    }
+
     fn release(&mut self, service: &Name, pin: Pin) {
         self.open_transactions.remove(&(service.clone(), pin.lease));
         self.release_in_group(service, pin);
@@ -317,7 +351,9 @@
             self.open_transactions
                 .remove(&(pending.service.clone(), lease));
         }
-        if let Some(pin) = reply.pin {
+        if let Some(pin) = reply.pin.filter(|_| self.finish_at.is_some()) {
+            self.release_in_group(&pending.service, pin);
+        } else if let Some(pin) = reply.pin {
             let key = (pending.service.clone(), pin.lease);
             self.open_transactions.insert(key, pin.endpoint);
         }
@@ -330,13 +366,20 @@
         }
     }
 
-    /// Cancels the statements in progress and rolls back the open transactions.
-    fn close(&mut self) {
+    /// Cancels the statements in progress, whose outcome is unknown, and rolls back the open
+    /// transactions.
+    fn cancel_all(&mut self) {
         for (id, statement) in std::mem::take(&mut self.pending) {
             if let Some(group) = (self.handlers.find_group)(&statement.service) {
                 // The group runs as long as the host.
                 let _ = group.send(SessionCommand::Cancel(id));
             }
+            let detail = Name::from("the host that runs the statement is stopping");
+            // The other host may have disconnected.
+            let _ = statement.reply.send(Reply {
+                result: Err(Refusal::Unknown { detail }),
+                ..not_run(NotRun::Stopping)
+            });
         }
         for ((service, lease), endpoint) in std::mem::take(&mut self.open_transactions) {
             self.release_in_group(&service, Pin { endpoint, lease });
--- a/crates/stream/src/accept.rs
+++ b/crates/stream/src/accept.rs
@@ -1,6 +1,12 @@
 //! A listener that runs a task for each connection and shuts the connections down gracefully.
 
-use std::{collections::BTreeMap, future::pending, io, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    future::pending,
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use compio::{
     net::{TcpListener, TcpStream},
@@ -18,34 +24,48 @@
 pub enum Shutdown {
     /// Close each connection as soon as no work is in progress on it.
     Drain,
-    /// Close connections at once.
-    Stop,
+    /// Close each connection right after the work in progress, which must end by this time.
+    Finish(Instant),
+}
+
+/// A command to a listener's task.
+#[derive(Debug)]
+enum Command {
+    Shutdown(Shutdown),
+    /// Report once no connection is left.
+    ReportDrained(Sender<()>),
 }
 
 /// A handle to a listener.
 #[derive(Debug, Clone)]
 pub struct ListenerHandle {
-    shutdown: Sender<Shutdown>,
-    drained: Receiver<()>,
+    commands: Sender<Command>,
 }
 
 impl ListenerHandle {
     /// Closes each connection as soon as no work is in progress on it. New connections are still
     /// accepted.
     pub fn drain(&self) {
-        // The listener runs as long as the host.
-        let _ = self.shutdown.send(Shutdown::Drain);
+        self.send(Command::Shutdown(Shutdown::Drain));
     }
 
-    /// Closes all connections at once.
-    pub fn stop(&self) {
-        let _ = self.shutdown.send(Shutdown::Stop);
+    /// Closes each connection right after the work in progress on it, which must end by `end`. New
+    /// connections are still accepted.
+    pub fn finish(&self, end: Instant) {
+        self.send(Command::Shutdown(Shutdown::Finish(end)));
     }
 
-    /// Waits until no connection is left after [`ListenerHandle::drain`].
+    /// Waits until no connection is left.
     pub async fn drained(&self) {
+        let (report, drained) = flume::bounded(1);
+        self.send(Command::ReportDrained(report));
         // A closed channel means that the listener has ended.
-        let _ = self.drained.recv_async().await;
+        let _ = drained.recv_async().await;
+    }
+
+    fn send(&self, command: Command) {
+        // The listener runs as long as the host.
+        let _ = self.commands.send(command);
     }
 }
 
@@ -60,8 +80,7 @@
     T: Future<Output = ()> + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    let (shutdown, shutdowns) = flume::unbounded();
-    let (drained_sender, drained) = flume::bounded(1);
+    let (commands, received) = flume::unbounded();
     let (closed, closures) = flume::unbounded();
     let task = Listener {
         serve,
@@ -69,15 +88,15 @@
         next: 0,
         last_shutdown: None,
         closed,
-        drained_sender,
+        drained_reports: Vec::new(),
     };
-    compio::runtime::spawn(task.run(listener, shutdowns, closures)).detach();
-    Ok(ListenerHandle { shutdown, drained })
+    compio::runtime::spawn(task.run(listener, received, closures)).detach();
+    Ok(ListenerHandle { commands })
 }
 
 enum Input {
     Accepted(TcpStream),
-    Shutdown(Shutdown),
+    Command(Command),
     Closed(u64),
     Stopped,
 }
@@ -93,8 +112,8 @@
     last_shutdown: Option<Shutdown>,
     /// Reports the number of a connection whose task has ended.
     closed: Sender<u64>,
-    /// Reports that no connection is left after a shutdown command.
-    drained_sender: Sender<()>,
+    /// Where to report that no connection is left.
+    drained_reports: Vec<Sender<()>>,
 }
 
 /// Reports the end of a connection's task when it is dropped, also if the task panicked.
@@ -118,14 +137,18 @@
     async fn run(
         mut self,
         listener: TcpListener,
-        shutdowns: Receiver<Shutdown>,
+        commands: Receiver<Command>,
         closures: Receiver<u64>,
     ) {
         let sockets = Sockets::of(listener);
         loop {
-            match next_input(&sockets, &shutdowns, &closures).await {
+            match next_input(&sockets, &commands, &closures).await {
                 Input::Accepted(socket) => self.open(socket),
-                Input::Shutdown(shutdown) => self.shut_down(shutdown),
+                Input::Command(Command::Shutdown(shutdown)) => self.shut_down(shutdown),
+                Input::Command(Command::ReportDrained(report)) => {
+                    self.drained_reports.push(report);
+                    self.report_if_drained();
+                }
                 Input::Closed(id) => self.remove(id),
                 Input::Stopped => return,
             }
@@ -159,7 +182,6 @@
             // The connection may just have closed.
             let _ = connection.send(shutdown);
         }
-        self.report_if_drained();
     }
 
     fn remove(&mut self, id: u64) {
@@ -167,25 +189,28 @@
         self.report_if_drained();
     }
 
-    fn report_if_drained(&self) {
-        if self.last_shutdown.is_some() && self.open.is_empty() {
-            // A full channel already holds the report.
-            let _ = self.drained_sender.try_send(());
+    fn report_if_drained(&mut self) {
+        if !self.open.is_empty() {
+            return;
+        }
+        for report in self.drained_reports.drain(..) {
+            // The receiver may have timed out.
+            let _ = report.send(());
         }
     }
 }
 
 async fn next_input(
     sockets: &Sockets,
-    shutdowns: &Receiver<Shutdown>,
+    commands: &Receiver<Command>,
     closures: &Receiver<u64>,
 ) -> Input {
     let accepted = sockets.next().fuse();
-    let shutdown = shutdowns.recv_async().fuse();
+    let command = commands.recv_async().fuse();
     let closed = closures.recv_async().fuse();
-    pin_mut!(accepted, shutdown, closed);
+    pin_mut!(accepted, command, closed);
     select_biased! {
-        got = shutdown => got.map_or(Input::Stopped, Input::Shutdown),
+        got = command => got.map_or(Input::Stopped, Input::Command),
         got = closed => got.map_or(Input::Stopped, Input::Closed),
         got = accepted => Input::Accepted(got),
     }
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use compio::{
     BufResult,
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWrite, AsyncWriteExt},
     net::TcpStream,
     time::timeout,
 };
@@ -100,6 +100,15 @@
         sent
     }
 
+    /// Ends the output, so that the peer learns that nothing follows.
+    ///
+    /// # Errors
+    ///
+    /// When the socket failed.
+    pub async fn end_output(&mut self) -> io::Result<()> {
+        self.socket.shutdown().await
+    }
+
     /// Reads and discards input until the peer closes the connection.
     ///
     /// Closing a socket with unread input resets the connection, and the peer may lose the last
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -16,6 +16,7 @@
 use goldcrest_observe::{LogFormat, log_to_stderr};
 use goldcrest_operators::Client;
 use goldcrest_settings::{Logs, Settings};
+use goldcrest_signals as signals;
 use goldcrest_types::Name;
 
 use crate::options::{Command, UsageError};
@@ -79,14 +80,17 @@
 }
 
 /// Waits for Ctrl-C or a termination signal.
+///
+/// A further signal does not end a process that is stopping.
 async fn stop_signal() -> anyhow::Result<()> {
-    const SIGTERM: i32 = 15;
-    let interrupt = compio::signal::ctrl_c();
-    let terminate = compio::signal::unix::signal(SIGTERM);
-    futures_util::pin_mut!(interrupt, terminate);
-    futures_util::future::select(interrupt, terminate)
+    let interrupts = signals::watch(signals::SIGINT)
+        .await
+        .context("watching for Ctrl-C")?;
+    let terminations = signals::watch(signals::SIGTERM)
         .await
-        .factor_first()
-        .0
-        .context("waiting for a signal")
+        .context("watching for SIGTERM")?;
+    let (interrupt, terminate) = (interrupts.received(), terminations.received());
+    futures_util::pin_mut!(interrupt, terminate);
+    futures_util::future::select(interrupt, terminate).await;
+    Ok(())
 }
