Admit clients by key, and give connections to endpoints a workspace

Cause: where the settings put keys in force, a client's key names its workspace, and endpoints learn the workspace, never the key. Nothing of this was decided. Requests carry their database and its priority beside the workspace.

--- a/crates/bench/src/decisions.rs
+++ b/crates/bench/src/decisions.rs
@@ -126,6 +126,8 @@
     RequestHead {
         id,
         workspace: Name::from("orders"),
+        database: Name::from("orders"),
+        priority: 0,
         kind: Kind::Read,
         class: Class::Short,
         floor: Floor::At(Mark::new(1, 100)),
--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -301,7 +301,7 @@
             member.record_service_time(elapsed);
             service_time = elapsed.saturating_sub(member.info.latency * 2);
         }
-        self.record_cost(&run.request.head.workspace, service_time);
+        self.record_cost(&run.request.head.database, service_time);
     }
 
     /// Retries a request that an endpoint did not run, unless it belongs to an open transaction.
--- a/crates/decide/src/fenced/dispatch.rs
+++ b/crates/decide/src/fenced/dispatch.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use goldcrest_types::{ConnectionId, EndpointIx, Guard, Lease, Mark, NotRun, Timestamp};
+use goldcrest_types::{ConnectionId, EndpointIx, Guard, Lease, Mark, Name, NotRun, Timestamp};
+use smallvec::SmallVec;
 
 use super::{
     Action, Actions, FencedGroup, Member, RunningRequest, SAMPLE_INTERVAL, SEARCH_INTERVAL,
@@ -26,9 +27,17 @@
 /// endpoint that was slow for a while is tried again.
 const ANSWER_TIME_DIVISOR: u32 = 4;
 
-/// Maximum number of connections to one endpoint that are set up at the same time.
+/// Maximum number of connections to one endpoint that are set up for one workspace at the same time.
 const OPENING_LIMIT: usize = 2;
 
+/// Maximum number of connections to one endpoint that are set up at the same time. Each occupies a
+/// slot.
+const TOTAL_OPENING_LIMIT: usize = 4;
+
+/// How long a request waits before it takes a connection from a workspace that is using it. Shorter
+/// waits end with a connection of its own that becomes free.
+const OVERDUE_AFTER: Duration = Duration::from_millis(50);
+
 /// Where a request is dispatched to.
 enum Dispatch {
     /// Runs on this connection.
@@ -45,12 +54,13 @@
     /// Dispatches waiting requests in the order of the queue.
     pub(super) fn dispatch_waiting(&mut self, now: Timestamp, out: &mut Actions) {
         for member in &mut self.members {
-            member.queued = 0;
+            member.clear_queue();
         }
         if self.waiting.is_empty() {
             return;
         }
         let waiting = std::mem::take(&mut self.waiting);
+        let mut unopened: SmallVec<[(EndpointIx, Name); 4]> = SmallVec::new();
         for mut request in waiting {
             match self.choose_endpoint(&request, now) {
                 Dispatch::Run(endpoint, connection, guard) => {
@@ -66,7 +76,9 @@
                     self.run(run, out);
                 }
                 Dispatch::Queue(endpoint) => {
-                    self.queue_at(endpoint, now, out);
+                    if !self.queue_at(endpoint, &request, now, out) {
+                        unopened.push((endpoint, request.head.workspace.clone()));
+                    }
                     request.reason = NotRun::Late;
                     self.waiting.push(request);
                 }
@@ -77,6 +89,9 @@
                 }
             }
         }
+        for (endpoint, workspace) in unopened {
+            self.replace_connection(endpoint, &workspace, now, out);
+        }
     }
 
     /// Chooses the endpoint with the lowest expected cost.
@@ -90,7 +105,7 @@
         let best = self
             .members
             .iter()
-            .filter(|m| self.may_serve(m, floor, now))
+            .filter(|m| self.may_serve(m, &request.head.workspace, floor, now))
             .min_by_key(|m| {
                 (
                     is_late(m, request, now),
@@ -107,7 +122,9 @@
             Some(mark) => Guard::Contains(mark),
             None => Guard::None,
         };
-        match member.idle() {
+        // Idle connections that overdue requests of other workspaces are about to replace stay idle.
+        let idle = member.idle_for(&request.head.workspace);
+        match idle.filter(|_| member.idle_count() > member.overdue) {
             Some(connection) => Dispatch::Run(member.ix, connection, guard),
             None => Dispatch::Queue(member.ix),
         }
@@ -115,8 +132,8 @@
 
     /// Whether an endpoint may serve a request. With a `floor`, any endpoint that is expected to
     /// contain it may; without one, only the leader.
-    fn may_serve(&self, m: &Member, floor: Option<Mark>, now: Timestamp) -> bool {
-        if m.is_busy(now) || (!m.may_try(now) && m.idle().is_none()) {
+    fn may_serve(&self, m: &Member, workspace: &Name, floor: Option<Mark>, now: Timestamp) -> bool {
+        if m.is_busy(now) || (!m.may_try(now) && m.idle_for(workspace).is_none()) {
             return false;
         }
         let is_leader = self.leader == Some(m.ix);
@@ -138,8 +155,11 @@
         let mut cost = m.info.latency * 2 + m.service_time + m.service_time * m.running() / 2;
         if m.connections.is_empty() {
             cost += OPEN_COST;
-        } else if m.idle().is_none() {
+        } else if m.idle_for(&request.head.workspace).is_none() {
             cost += m.service_time * (m.queued + 1) / connections;
+            if !m.serves(&request.head.workspace) {
+                cost += OPEN_COST;
+            }
         }
         if read && self.leader == Some(m.ix) {
             cost += LEADER_COST;
@@ -159,43 +179,90 @@
         }
     }
 
-    /// Counts a request that waits for this endpoint, and opens a connection if that helps.
-    fn queue_at(&mut self, endpoint: EndpointIx, now: Timestamp, out: &mut Actions) {
+    /// Counts a request that waits for this endpoint, and opens a connection if that helps. Returns
+    /// false if the share leaves no room for the connection that the request needs.
+    fn queue_at(
+        &mut self,
+        endpoint: EndpointIx,
+        request: &WaitingRequest,
+        now: Timestamp,
+        out: &mut Actions,
+    ) -> bool {
         let (share, borrowable) = (self.share_at(now), self.borrowable);
+        let workspace = &request.head.workspace;
         let Some(member) = self.member_mut(endpoint) else {
-            return;
+            return true;
         };
-        member.queued += 1;
+        let wanted = member.count_queued(workspace);
         member.borrow_connection(share, borrowable, now);
-        let wanted = member.queued as usize;
-        if member.opening() < wanted.min(OPENING_LIMIT) {
-            self.open_connection(endpoint, now, out);
+        let is_under_way = member.opening_for(workspace) >= wanted.min(OPENING_LIMIT);
+        if is_under_way || member.opening() >= TOTAL_OPENING_LIMIT {
+            return true;
+        }
+        if self.open_connection(endpoint, workspace, now, out) {
+            return true;
         }
+        if let Some(member) = self.member_mut(endpoint)
+            && now.since(request.head.arrived) >= OVERDUE_AFTER
+            && !member.serves(workspace)
+        {
+            member.overdue += 1;
+        }
+        false
     }
 
     /// Opens a connection, unless this host's share is used up or the endpoint must not be tried yet.
+    /// Returns whether it does.
     pub(super) fn open_connection(
         &mut self,
         endpoint: EndpointIx,
+        workspace: &Name,
         now: Timestamp,
         out: &mut Actions,
-    ) {
+    ) -> bool {
         let share = self.share_at(now);
         let id = ConnectionId(self.next_connection);
         let Some(member) = self.member_mut(endpoint) else {
-            return;
+            return false;
         };
         if !member.may_open(share, now) {
-            return;
+            return false;
         }
         member.connections.push(Connection {
             id,
+            workspace: workspace.clone(),
             state: ConnectionState::Opening,
             faulty: false,
             answered: false,
         });
         self.next_connection += 1;
-        out.push(Action::Open(id, endpoint));
+        out.push(Action::Open(id, endpoint, workspace.clone()));
+        true
+    }
+
+    /// Closes the connection that another workspace has not used for the longest time, and opens one for
+    /// this workspace instead.
+    fn replace_connection(
+        &mut self,
+        endpoint: EndpointIx,
+        workspace: &Name,
+        now: Timestamp,
+        out: &mut Actions,
+    ) {
+        let Some(member) = self.member_mut(endpoint) else {
+            return;
+        };
+        let opening = member.opening_for(workspace) > 0 || member.opening() >= TOTAL_OPENING_LIMIT;
+        if opening || !member.may_replace(now) {
+            return;
+        }
+        let Some(unused) = member.evictable(workspace) else {
+            return;
+        };
+        member.connections.retain(|c| c.id != unused);
+        out.push(Action::Close(unused));
+        self.counts.evicted += 1;
+        self.open_connection(endpoint, workspace, now, out);
     }
 
     /// If no leader is known, takes for it the only endpoint that claims to be the primary and has not
@@ -270,7 +337,8 @@
         let Some(connection) = idle else {
             let opening = self.member(endpoint).map_or(0, Member::opening);
             if opening == 0 {
-                self.open_connection(endpoint, now, out);
+                let workspace = self.last_workspace.clone();
+                self.open_connection(endpoint, &workspace, now, out);
             }
             return;
         };
--- a/crates/decide/src/fenced/events.rs
+++ b/crates/decide/src/fenced/events.rs
@@ -60,8 +60,8 @@
 /// An action for the group's task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
-    /// Open a connection.
-    Open(ConnectionId, EndpointIx),
+    /// Open a connection for a workspace.
+    Open(ConnectionId, EndpointIx, Name),
     /// Close a connection.
     Close(ConnectionId),
     /// Run a statement on a connection.
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -124,6 +124,8 @@
     pub unknown: u64,
     /// Connections opened.
     pub opened: u64,
+    /// Idle connections closed in favour of another workspace.
+    pub evicted: u64,
     /// Connections that an endpoint rejected because it was at its connection limit.
     pub full: u64,
     /// Connections lost.
@@ -158,6 +160,8 @@
     last_sample: Timestamp,
     /// When the last read arrived.
     last_read: Option<Timestamp>,
+    /// The workspace of the last request, for which connections are opened that no request waits for.
+    last_workspace: Name,
     /// Time since which there has been demand for a leader.
     demand_since: Option<Timestamp>,
     waiting: Vec<WaitingRequest>,
@@ -170,7 +174,7 @@
     /// Replicas that have received a commit before it is acknowledged.
     sync_replicas: usize,
     budget: RetryBudget,
-    /// Moving average of the time that a workspace's statements take at an endpoint.
+    /// Moving average of the time that a database's statements take at an endpoint.
     costs: BTreeMap<Name, Duration>,
     counts: Counts,
     next_connection: u64,
@@ -194,6 +198,7 @@
             last_search: Timestamp::ZERO,
             last_sample: Timestamp::ZERO,
             last_read: None,
+            last_workspace: Name::new(),
             demand_since: None,
             waiting: Vec::new(),
             running: BTreeMap::new(),
--- a/crates/decide/src/fenced/requests.rs
+++ b/crates/decide/src/fenced/requests.rs
@@ -37,6 +37,7 @@
         if head.kind == Kind::Read {
             self.last_read = Some(now);
         }
+        self.last_workspace.clone_from(&head.workspace);
         let request = WaitingRequest {
             queue_key: head.start_by,
             since: head.arrived.before(head.max_age.unwrap_or_default()),
@@ -58,7 +59,7 @@
     /// Under a load peak, when more work waits than the endpoints can run, short statements are
     /// thus served before long ones, and long ones move forward as they age.
     pub(super) fn wait(&mut self, mut request: WaitingRequest) {
-        let cost = self.costs.get(&request.head.workspace).copied();
+        let cost = self.costs.get(&request.head.database).copied();
         request.queue_key = request.head.start_by + cost.unwrap_or_default() * COST_WEIGHT;
         let at = self
             .waiting
@@ -66,9 +67,9 @@
         self.waiting.insert(at, request);
     }
 
-    /// Updates the average time that a workspace's statements take at an endpoint.
-    pub(super) fn record_cost(&mut self, workspace: &Name, elapsed: Duration) {
-        let average = self.costs.entry(workspace.clone()).or_insert(elapsed);
+    /// Updates the average time that a database's statements take at an endpoint.
+    pub(super) fn record_cost(&mut self, database: &Name, elapsed: Duration) {
+        let average = self.costs.entry(database.clone()).or_insert(elapsed);
         *average = (*average * (COST_SMOOTHING - 1) + elapsed) / COST_SMOOTHING;
     }
 
@@ -86,6 +87,7 @@
                 .connections
                 .iter()
                 .find(|c| c.state == ConnectionState::Held(lease));
+            let held = held.filter(|c| c.workspace == request.head.workspace);
             held.map(|c| c.id)
         });
         let Some(connection) = connection else {
--- a/crates/decide/src/fenced/survey.rs
+++ b/crates/decide/src/fenced/survey.rs
@@ -296,7 +296,8 @@
             self.set_state(connection, ConnectionState::Internal(now));
             out.push(query(connection));
         } else if opening == 0 {
-            self.open_connection(endpoint, now, out);
+            let workspace = self.last_workspace.clone();
+            self.open_connection(endpoint, &workspace, now, out);
         }
         idle.is_some()
     }
--- a/crates/decide/src/group/explain.rs
+++ b/crates/decide/src/group/explain.rs
@@ -40,6 +40,8 @@
         RequestHead {
             id: RequestId(u64::MAX),
             workspace: Name::default(),
+            database: Name::default(),
+            priority: 0,
             kind: Kind::Read,
             class: Class::Short,
             floor: Floor::At(floor),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,6 +3,7 @@
 //! State is kept in plain structs. Each step takes an event and the current time, updates the state
 //! and returns a short list of actions for a task to carry out.
 
+pub mod admission;
 pub mod configuration;
 pub mod fence;
 pub mod fenced;
--- a/crates/decide/tests/fenced_group/mod.rs
+++ b/crates/decide/tests/fenced_group/mod.rs
@@ -35,7 +35,9 @@
 pub fn head(id: u64, kind: Kind, age_ms: u64, now: Timestamp) -> RequestHead {
     RequestHead {
         id: RequestId(id),
-        workspace: Name::from("orders"),
+        workspace: Name::new(),
+        database: Name::from("orders"),
+        priority: 0,
         kind,
         class: Class::Short,
         floor: Floor::At(Mark::default()),
--- a/crates/decide/tests/fenced_group/simulation.rs
+++ b/crates/decide/tests/fenced_group/simulation.rs
@@ -135,7 +135,7 @@
     fn step(&mut self, host: usize, event: Event, now: Timestamp) {
         for action in self.hosts[host].step(event, now) {
             match action {
-                Action::Open(connection, _) => self.send(host, connection, None),
+                Action::Open(connection, ..) => self.send(host, connection, None),
                 Action::Close(connection) => self
                     .endpoint
                     .open
--- a/crates/decide/tests/fenced_group/synchronous.rs
+++ b/crates/decide/tests/fenced_group/synchronous.rs
@@ -198,7 +198,7 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Open(id, EndpointIx(ix)) => {
+            Action::Open(id, EndpointIx(ix), _) => {
                 self.connections.push((id, usize::from(ix)));
                 self.send(Message::Open(id, usize::from(ix)));
             }
--- a/crates/decide/tests/group_rules.rs
+++ b/crates/decide/tests/group_rules.rs
@@ -90,6 +90,8 @@
         let head = RequestHead {
             id,
             workspace: Name::from("orders"),
+            database: Name::from("orders"),
+            priority: 0,
             kind,
             class: Class::Short,
             floor,
--- a/crates/decide/tests/load_peak.rs
+++ b/crates/decide/tests/load_peak.rs
@@ -31,7 +31,7 @@
 /// How long the set-up of a connection takes.
 const OPEN_TIME: Duration = Duration::from_millis(12);
 
-/// Kinds of statements: workspace, time at the endpoint and pause between arrivals, in units of 100
+/// Kinds of statements: database, time at the endpoint and pause between arrivals, in units of 100
 /// µs. Together they need 1.6 times the capacity of two slots.
 const KINDS: [(&str, u64, u64); 3] = [("short", 25, 40), ("medium", 76, 60), ("long", 130, 100)];
 
@@ -144,7 +144,7 @@
     fn step(&mut self, event: Event, now: Timestamp) {
         for action in self.group.step(event, now) {
             match action {
-                Action::Open(connection, _) => self.opening.push((now + OPEN_TIME, connection)),
+                Action::Open(connection, ..) => self.opening.push((now + OPEN_TIME, connection)),
                 Action::Run(connection, id, _) => {
                     let (kind, cost, arrived) = self.requests[&id.0];
                     let (id, connection) = (id.0, connection.0);
@@ -211,7 +211,7 @@
         for (kind, cost) in arrivals(step).into_iter().filter(|_| in_peak) {
             simulation.requests.insert(next, (kind, cost, now));
             let mut head = fenced_group::head(next, Kind::Write, 0, now);
-            head.workspace = Name::from(kind);
+            head.database = Name::from(kind);
             next += 1;
             simulation.step(Event::Request(head, TxStart::None), now);
         }
--- a/crates/decide/tests/relays.rs
+++ b/crates/decide/tests/relays.rs
@@ -52,6 +52,8 @@
         let head = RequestHead {
             id: RequestId(id),
             workspace: Name::from("orders"),
+            database: Name::from("orders"),
+            priority: 0,
             kind,
             class: Class::Short,
             floor: Floor::At(Mark::default()),
--- a/crates/endpoints/tests/answers.rs
+++ b/crates/endpoints/tests/answers.rs
@@ -125,6 +125,8 @@
     let head = RequestHead {
         id: RequestId(id),
         workspace: "orders".into(),
+        database: "orders".into(),
+        priority: 0,
         kind: Kind::Write,
         class: Class::Short,
         floor: Floor::At(goldcrest_types::Mark::default()),
--- a/crates/fakes/src/world/requests.rs
+++ b/crates/fakes/src/world/requests.rs
@@ -59,6 +59,8 @@
         let head = RequestHead {
             id,
             workspace: client.session.workspace.clone(),
+            database: client.session.database.clone(),
+            priority: 0,
             kind: op.kind(),
             class: Class::Short,
             floor: client.session.floor(),
--- a/crates/fenced/src/decision_log.rs
+++ b/crates/fenced/src/decision_log.rs
@@ -84,7 +84,8 @@
         info!("request refused: {}", refusal, kv: {
             request = statement.label.as_str(),
             service = group.config().name.as_str(),
-            database = head.workspace.as_str(),
+            workspace = head.workspace.as_str(),
+            database = head.database.as_str(),
             kind = format!("{:?}", head.kind).as_str(),
             floor = format!("{:?}", head.floor).as_str(),
             age_ms = milliseconds(head.max_age),
@@ -123,7 +124,8 @@
         info!("{}", what, kv: {
             request = request.statement.label.as_str(),
             service = group.config().name.as_str(),
-            database = head.workspace.as_str(),
+            workspace = head.workspace.as_str(),
+            database = head.database.as_str(),
             kind = format!("{:?}", head.kind).as_str(),
             floor = format!("{:?}", head.floor).as_str(),
             age_ms = milliseconds(head.max_age),
@@ -170,7 +172,8 @@
         info!("relayed request refused: {}", refusal, kv: {
             request = relayed.statement.label.as_str(),
             service = relayed.service,
-            database = head.workspace.as_str(),
+            workspace = head.workspace.as_str(),
+            database = head.database.as_str(),
             kind = format!("{:?}", head.kind).as_str(),
             after_ms = milliseconds(Some(now.since(head.arrived))),
             hosts = relayed.hosts.join(", ").as_str(),
--- a/crates/fenced/src/directory.rs
+++ b/crates/fenced/src/directory.rs
@@ -4,13 +4,15 @@
 
 use flume::Sender;
 use goldcrest_decide::{
+    admission::Workspaces,
     fenced::{Assignment, GroupConfig},
     owners::{Candidate, Holders, failover_order, holders},
     session_state::Freshness,
     share::{Demand, borrowable, share, standby},
 };
-use goldcrest_types::{Name, SessionCommand, Statement, Timestamp};
+use goldcrest_types::{KeyDigest, Name, SessionCommand, Statement, Timestamp};
 use spdlog::{error, info};
+use thiserror::Error;
 
 use crate::{Control, DiscoveredEndpoint, Handle};
 
@@ -23,6 +25,10 @@
     pub freshness: Freshness,
     /// How long a single statement may take.
     pub timeout: Duration,
+    /// The urgency of its statements: 0 goes first.
+    pub priority: u8,
+    /// Whether clients without a known key are admitted.
+    pub open: bool,
 }
 
 /// How a service's endpoints accept connections and replicate.
@@ -35,7 +41,7 @@
 }
 
 /// A complete configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Configuration {
     /// Increases with each change.
     pub version: u64,
@@ -43,6 +49,8 @@
     pub routes: BTreeMap<Name, Route>,
     /// The rules of the services.
     pub services: BTreeMap<Name, ServiceRules>,
+    /// The workspaces, if clients are admitted by key.
+    pub workspaces: Option<Workspaces>,
     /// How long a transaction may stay idle.
     pub idle: Duration,
 }
@@ -52,12 +60,25 @@
 pub struct Target {
     /// How the database is served.
     pub route: Route,
+    /// The workspace that the client works for. Empty if it has none.
+    pub workspace: Name,
     /// Commands to the group's task or to its relay.
     pub group: Sender<SessionCommand<Statement>>,
     /// How long a transaction may stay idle.
     pub idle: Duration,
 }
 
+/// Why a client gets no target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum FindError {
+    /// The configuration has no such database.
+    #[error("there is no such database")]
+    NoDatabase,
+    /// The client's key is unknown.
+    #[error("the key is not known")]
+    UnknownKey,
+}
+
 /// The name and the region of this host.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -188,18 +209,30 @@
         self.groups.values().map(|service| &service.handle)
     }
 
-    /// Returns where the sessions of a database send their statements.
-    #[must_use]
-    pub fn find(&self, database: &str) -> Option<Target> {
-        let route = self.configuration.routes.get(database)?;
-        let group = self.groups.get(&route.service)?;
+    /// Returns where a client's session sends the statements for a database.
+    ///
+    /// # Errors
+    ///
+    /// [`FindError`] if the database does not exist, or does not admit the client.
+    pub fn find(&self, database: &str, key: &KeyDigest) -> Result<Target, FindError> {
+        let route = self.configuration.routes.get(database);
+        let route = route.ok_or(FindError::NoDatabase)?;
+        let group = self.groups.get(&route.service);
+        let group = group.ok_or(FindError::NoDatabase)?;
+        let workspace = match &self.configuration.workspaces {
+            Some(workspaces) => workspaces
+                .admit(key, route.open)
+                .ok_or(FindError::UnknownKey)?,
+            None => Name::new(),
+        };
         let commands = if group.relayed {
             &group.handle.relay.commands
         } else {
             &group.handle.commands
         };
-        Some(Target {
+        Ok(Target {
             route: route.clone(),
+            workspace,
             group: commands.clone(),
             idle: self.configuration.idle,
         })
--- a/crates/fenced/src/group.rs
+++ b/crates/fenced/src/group.rs
@@ -251,7 +251,7 @@
 
     fn execute(&mut self, action: Action) {
         match action {
-            Action::Open(id, endpoint) => self.open(id, endpoint),
+            Action::Open(id, endpoint, workspace) => self.open(id, endpoint, workspace),
             Action::Close(id) => {
                 self.connections.remove(&id);
             }
@@ -291,7 +291,7 @@
         self.command(connection, ConnectionCommand::Run(statement, guard));
     }
 
-    fn open(&mut self, id: ConnectionId, endpoint: EndpointIx) {
+    fn open(&mut self, id: ConnectionId, endpoint: EndpointIx, workspace: Name) {
         let name = self.name(endpoint);
         let Some(address) = self.addresses.get(&name) else {
             return;
@@ -306,6 +306,7 @@
             id,
             service: self.group.config().name.clone(),
             endpoint: name,
+            workspace,
             address: *address,
             commands: receiver,
             notices: self.notices.clone(),
--- a/crates/fenced/src/lib.rs
+++ b/crates/fenced/src/lib.rs
@@ -19,7 +19,7 @@
 };
 
 pub use crate::{
-    directory::{Configuration, Directory, Identity, Peer, Route, ServiceRules, Target},
+    directory::{Configuration, Directory, FindError, Identity, Peer, Route, ServiceRules, Target},
     durations::{DurationKind, RecordDuration, RequestOutcome},
     group::start,
     relay::HostLink,
@@ -91,6 +91,8 @@
     pub service: Name,
     /// Name of the endpoint.
     pub endpoint: Name,
+    /// The workspace whose statements run on the connection. Empty if it has none.
+    pub workspace: Name,
     /// Address of the endpoint.
     pub address: SocketAddr,
     /// Commands for the connection. It is closed when the sender is dropped.
--- a/crates/fenced/tests/panics.rs
+++ b/crates/fenced/tests/panics.rs
@@ -11,7 +11,8 @@
     Route, ServiceRules,
 };
 use goldcrest_types::{
-    Class, Floor, Kind, Mark, Name, RequestHead, RequestId, SessionCommand, Statement, TxStart,
+    Class, Floor, KeyDigest, Kind, Mark, Name, RequestHead, RequestId, SessionCommand, Statement,
+    TxStart,
 };
 
 const RULES: ServiceRules = ServiceRules {
@@ -69,11 +70,14 @@
         service: Name::from("svc"),
         freshness: Freshness::Latest,
         timeout: Duration::from_millis(800),
+        priority: 0,
+        open: false,
     };
     Configuration {
         version: 1,
         routes: [(Name::from("orders"), route)].into(),
         services: [(Name::from("svc"), RULES)].into(),
+        workspaces: None,
         idle: WAIT,
     }
 }
@@ -97,6 +101,8 @@
         head: RequestHead {
             id: RequestId(id),
             workspace: Name::from("orders"),
+            database: Name::from("orders"),
+            priority: 0,
             kind: Kind::Write,
             class: Class::Short,
             floor: Floor::At(Mark::default()),
@@ -120,12 +126,16 @@
     let clock = Clock::start();
     let (mut directory, connections) = directory(clock);
     // The first connection is opened once the host counts as settled or at once: either panics.
-    let target = directory.find("orders").unwrap();
+    let target = directory
+        .find("orders", &KeyDigest::new(Name::new()))
+        .unwrap();
     target.group.send(write(1, clock)).unwrap();
     sleep(Duration::from_millis(50)).await;
     assert!(target.group.is_disconnected(), "the group did not panic");
     directory.restart_ended_groups();
-    let target = directory.find("orders").unwrap();
+    let target = directory
+        .find("orders", &KeyDigest::new(Name::new()))
+        .unwrap();
     target.group.send(write(2, clock)).unwrap();
     let opened = timeout(WAIT, connections.recv_async())
         .await
@@ -161,7 +171,9 @@
     next.routes.insert(Name::from("visits"), route);
     directory.apply(next);
     let group = directory.local_group("new").unwrap();
-    let target = directory.find("visits").unwrap();
+    let target = directory
+        .find("visits", &KeyDigest::new(Name::new()))
+        .unwrap();
     assert!(
         !target.group.same_channel(&group),
         "it uses its own connections"
--- a/crates/frontend/src/refusals.rs
+++ b/crates/frontend/src/refusals.rs
@@ -25,7 +25,7 @@
 fn not_run_sqlstate(reason: NotRun) -> &'static str {
     match reason {
         NotRun::NoPrimary | NotRun::Unreachable | NotRun::Behind => "57P03",
-        NotRun::Late => "53300",
+        NotRun::Late | NotRun::Allowance => "53300",
         NotRun::Cancelled => "57014",
         NotRun::Stopping => "57P01",
     }
--- a/crates/frontend/src/session.rs
+++ b/crates/frontend/src/session.rs
@@ -363,6 +363,8 @@
         let head = RequestHead {
             id: self.request_ids.take(),
             workspace: self.state.workspace.clone(),
+            database: self.state.database.clone(),
+            priority: 0,
             kind: forwarded.kind,
             class,
             floor: self.state.floor(),
--- a/crates/peers/src/relay/mod.rs
+++ b/crates/peers/src/relay/mod.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct RelayedStatement {
     workspace: Name,
+    database: Name,
+    priority: u8,
     kind: Kind,
     class: Class,
     floor: Floor,
@@ -65,6 +67,8 @@
         let head = &statement.head;
         Self {
             workspace: head.workspace.clone(),
+            database: head.database.clone(),
+            priority: head.priority,
             kind: head.kind,
             class: head.class,
             floor: head.floor,
@@ -86,6 +90,8 @@
             head: RequestHead {
                 id,
                 workspace: self.workspace,
+                database: self.database,
+                priority: self.priority,
                 kind: self.kind,
                 class: self.class,
                 floor: self.floor,
--- a/crates/peers/tests/relays.rs
+++ b/crates/peers/tests/relays.rs
@@ -90,6 +90,8 @@
             head: RequestHead {
                 id: RequestId(5),
                 workspace: Name::from("orders"),
+                database: Name::from("orders"),
+                priority: 0,
                 kind: Kind::Write,
                 class: Class::Short,
                 floor: Floor::At(Mark::new(1, 3)),
--- a/crates/types/src/answer.rs
+++ b/crates/types/src/answer.rs
@@ -70,6 +70,9 @@
     /// The host is stopping.
     #[error("the host is stopping")]
     Stopping,
+    /// The workspace has used up its allowance.
+    #[error("the workspace has used up its allowance")]
+    Allowance,
 }
 
 /// Why a client gets no answer from an endpoint.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod statement;
 pub mod table;
 pub mod timestamp;
+pub mod workspace;
 
 pub use crate::{
     answer::{Answer, NotRun, Outcome, Refusal, Reply, TxState},
@@ -28,4 +29,5 @@
     },
     table::{TableCursor, TableQuery, TableReply, TableUpdate},
     timestamp::Timestamp,
+    workspace::{Allowance, KeyDigest},
 };
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -38,8 +38,12 @@
 pub struct RequestHead {
     /// The request's number.
     pub id: RequestId,
-    /// The workspace that the request comes from.
+    /// The workspace that the request comes from. Empty where clients have none.
     pub workspace: Name,
+    /// The database that the request is for.
+    pub database: Name,
+    /// The urgency of the database's requests: 0 goes first.
+    pub priority: u8,
     /// What the statement does.
     pub kind: Kind,
     /// The class by its expected duration.
