--- a/crates/decide/src/admission/mod.rs
+++ b/crates/decide/src/admission/mod.rs
@@ -4,16 +4,48 @@
 //! for each statement, since a newer configuration may have withdrawn it or given it to another
 //! workspace.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use goldcrest_types::{Allowance, KeyDigest, Name};
 use smallvec::SmallVec;
 
+/// The highest rate and the highest burst of a limit. A higher one is an error of the operator: the hosts
+/// of the largest fleet run a million statements a second together.
+pub const MAX_LIMIT: f64 = 1e9;
+
 /// The workspaces of a configuration.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Workspaces {
     keys: BTreeMap<KeyDigest, Name>,
     allowances: BTreeMap<Name, Allowance>,
+    /// The workspaces whose limit could not be read.
+    unreadable: BTreeSet<Name>,
+}
+
+/// What an operator declares about how many operations a workspace may run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Limit {
+    /// There is no limit.
+    None,
+    /// A limit is declared that can't be read.
+    Unreadable,
+    /// This limit.
+    Allowance(Allowance),
+}
+
+impl Limit {
+    /// Returns the limit of a declared rate and burst. A rate must be positive, a burst not negative.
+    #[must_use]
+    pub fn of(rate: Option<f64>, burst: Option<f64>) -> Self {
+        let burst = burst.unwrap_or_default();
+        match rate {
+            None => Self::None,
+            Some(rate) if rate > 0.0 && rate <= MAX_LIMIT && (0.0..=MAX_LIMIT).contains(&burst) => {
+                Self::Allowance(Allowance { rate, burst })
+            }
+            Some(_) => Self::Unreadable,
+        }
+    }
 }
 
 /// A workspace as an operator declares it.
@@ -23,8 +55,8 @@
     pub name: Name,
     /// The digests of its keys.
     pub keys: SmallVec<[KeyDigest; 2]>,
-    /// How many operations it may run, if there is a limit.
-    pub allowance: Option<Allowance>,
+    /// How many operations it may run.
+    pub limit: Limit,
 }
 
 /// Two workspaces that declare the same key, which then admits nobody.
@@ -46,8 +78,14 @@
                     shared.push((key, SharedKey(other, workspace.name.clone())));
                 }
             }
-            if let Some(allowance) = workspace.allowance {
-                all.allowances.insert(workspace.name, allowance);
+            match workspace.limit {
+                Limit::None => {}
+                Limit::Unreadable => {
+                    all.unreadable.insert(workspace.name);
+                }
+                Limit::Allowance(allowance) => {
+                    all.allowances.insert(workspace.name, allowance);
+                }
             }
         }
         for (key, _) in &shared {
@@ -57,6 +95,20 @@
         (all, conflicts.collect())
     }
 
+    /// Keeps the former limits of workspaces whose declared limit can't be read: an error in it must not
+    /// free a workspace of its limit. Returns these workspaces, with the limit that is in force now.
+    pub fn keep_limits(&mut self, former: Option<&Self>) -> Vec<(Name, Option<Allowance>)> {
+        let unreadable = std::mem::take(&mut self.unreadable);
+        let kept = unreadable.into_iter().map(|workspace| {
+            let allowance = former.and_then(|f| f.allowance(&workspace));
+            if let Some(allowance) = allowance {
+                self.allowances.insert(workspace.clone(), allowance);
+            }
+            (workspace, allowance)
+        });
+        kept.collect()
+    }
+
     /// Returns the workspace that a client with this key works for, or `None` if it is not admitted.
     /// An open database admits every client; one without a known key works for no workspace, whose
     /// name is empty.
--- a/crates/decide/src/fenced/dispatch.rs
+++ b/crates/decide/src/fenced/dispatch.rs
@@ -122,9 +122,8 @@
             Some(mark) => Guard::Contains(mark),
             None => Guard::None,
         };
-        // Idle connections that overdue requests of other workspaces are about to replace stay idle.
         let idle = member.idle_for(&request.head.workspace);
-        match idle.filter(|_| member.idle_count() > member.overdue) {
+        match idle.filter(|connection| member.may_use(*connection)) {
             Some(connection) => Dispatch::Run(member.ix, connection, guard),
             None => Dispatch::Queue(member.ix),
         }
@@ -204,9 +203,9 @@
         }
         if let Some(member) = self.member_mut(endpoint)
             && now.since(request.head.arrived) >= OVERDUE_AFTER
-            && !member.serves(workspace)
         {
-            member.overdue += 1;
+            let limit = TOTAL_OPENING_LIMIT - member.opening();
+            member.keep_idle_for(workspace, limit, now);
         }
         false
     }
@@ -256,11 +255,10 @@
         if opening || !member.may_replace(now) {
             return;
         }
-        let Some(unused) = member.evictable(workspace) else {
+        let Some(eviction) = member.evict_for(workspace, now) else {
             return;
         };
-        member.connections.retain(|c| c.id != unused);
-        out.push(Action::Close(unused));
+        out.push(Action::Evict(eviction));
         self.counts.evicted += 1;
         self.open_connection(endpoint, workspace, now, out);
     }
--- a/crates/decide/src/fenced/events.rs
+++ b/crates/decide/src/fenced/events.rs
@@ -57,6 +57,21 @@
     Tick,
 }
 
+/// A connection that is closed in favour of another workspace.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Eviction {
+    /// The connection.
+    pub connection: ConnectionId,
+    /// Its endpoint.
+    pub endpoint: EndpointIx,
+    /// The workspace that it belonged to.
+    pub from: Name,
+    /// The workspace that needs its place.
+    pub to: Name,
+    /// How long it was idle.
+    pub idle: Duration,
+}
+
 /// An action for the group's task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -64,6 +79,8 @@
     Open(ConnectionId, EndpointIx, Name),
     /// Close a connection.
     Close(ConnectionId),
+    /// Close an idle connection in favour of another workspace.
+    Evict(Eviction),
     /// Run a statement on a connection.
     Run(ConnectionId, RequestId, Guard),
     /// Request a proof of leadership over a connection.
--- a/crates/decide/src/fenced/members.rs
+++ b/crates/decide/src/fenced/members.rs
@@ -84,7 +84,7 @@
 }
 
 impl Connection {
-    fn is_idle(&self) -> bool {
+    pub(super) fn is_idle(&self) -> bool {
         matches!(self.state, ConnectionState::Idle(_)) && !self.faulty
     }
 }
@@ -113,9 +113,10 @@
     /// Requests that were queued for this endpoint during the current dispatch.
     pub(super) queued: u32,
     /// The same by workspace.
-    queued_for: SmallVec<[(Name, usize); 2]>,
-    /// Those of them that have waited for long and have no connection of their workspace under way.
-    pub(super) overdue: u32,
+    pub(super) queued_for: SmallVec<[(Name, usize); 2]>,
+    /// The workspaces of requests that have waited for long and have no connection there. As many idle
+    /// connections are kept for them.
+    pub(super) overdue: SmallVec<[Name; 4]>,
     /// When it first failed after its last success, if it has.
     pub(super) failing_since: Option<Timestamp>,
     /// Failures since the last success.
@@ -123,7 +124,7 @@
     /// End of the pause after a failure.
     retry_at: Timestamp,
     /// End of the pause after the endpoint reached its connection limit.
-    full_until: Timestamp,
+    pub(super) full_until: Timestamp,
     /// Connections that this host may hold there beyond its share.
     pub(super) borrowed: usize,
     /// When another connection may be borrowed.
@@ -160,7 +161,7 @@
             usual_time: INITIAL_SERVICE_TIME,
             queued: 0,
             queued_for: SmallVec::new(),
-            overdue: 0,
+            overdue: SmallVec::new(),
             failing_since: None,
             failures: 0,
             retry_at: Timestamp::ZERO,
@@ -207,66 +208,6 @@
         connections.find(|c| c.is_idle()).map(|c| c.id)
     }
 
-    /// Returns an idle connection of a workspace.
-    pub(super) fn idle_for(&self, workspace: &Name) -> Option<ConnectionId> {
-        let mut connections = self.connections.iter();
-        let idle = connections.find(|c| c.is_idle() && c.workspace == *workspace);
-        idle.map(|c| c.id)
-    }
-
-    /// Returns the number of idle connections.
-    pub(super) fn idle_count(&self) -> u32 {
-        let idle = self.connections.iter().filter(|c| c.is_idle()).count();
-        u32::try_from(idle).unwrap_or(u32::MAX)
-    }
-
-    /// Whether a connection of a workspace is open or being set up.
-    pub(super) fn serves(&self, workspace: &Name) -> bool {
-        self.connections.iter().any(|c| c.workspace == *workspace)
-    }
-
-    /// Returns the number of connections that are being set up for a workspace.
-    pub(super) fn opening_for(&self, workspace: &Name) -> usize {
-        let opening =
-            |c: &&Connection| c.state == ConnectionState::Opening && c.workspace == *workspace;
-        self.connections.iter().filter(opening).count()
-    }
-
-    /// Forgets the requests that were queued during the last dispatch.
-    pub(super) fn clear_queue(&mut self) {
-        self.queued = 0;
-        self.queued_for.clear();
-        self.overdue = 0;
-    }
-
-    /// Counts a queued request. Returns how many of its workspace are queued.
-    pub(super) fn count_queued(&mut self, workspace: &Name) -> usize {
-        self.queued += 1;
-        let mut counts = self.queued_for.iter_mut();
-        if let Some((_, count)) = counts.find(|(name, _)| name == workspace) {
-            *count += 1;
-            return *count;
-        }
-        self.queued_for.push((workspace.clone(), 1));
-        1
-    }
-
-    /// Whether a connection may be closed in order to open another one.
-    pub(super) fn may_replace(&self, now: Timestamp) -> bool {
-        !self.unlisted && now >= self.full_until && self.may_try(now)
-    }
-
-    /// Returns the idle connection of another workspace that was not used for the longest time.
-    pub(super) fn evictable(&self, workspace: &Name) -> Option<ConnectionId> {
-        let others = self.connections.iter().filter_map(|c| match c.state {
-            ConnectionState::Idle(since) if !c.faulty && c.workspace != *workspace => {
-                Some((since, c.id))
-            }
-            _ => None,
-        });
-        others.min().map(|(_, id)| id)
-    }
-
     pub(super) fn opening(&self) -> usize {
         let opening = |c: &&Connection| c.state == ConnectionState::Opening;
         self.connections.iter().filter(opening).count()
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -16,6 +16,7 @@
 mod samples;
 mod succession;
 mod survey;
+mod workspaces;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -26,7 +27,7 @@
 use smallvec::SmallVec;
 
 pub use self::{
-    events::{Action, Actions, Assignment, Event, MemberInfo},
+    events::{Action, Actions, Assignment, Event, Eviction, MemberInfo},
     members::Member,
     succession::LEASE_USE,
 };
--- a/crates/decide/tests/fenced_group/mod.rs
+++ b/crates/decide/tests/fenced_group/mod.rs
@@ -1,6 +1,7 @@
 //! Drives the decisions of one host for a fenced group, and logs events and actions as text.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod pool;
 pub mod simulation;
 pub mod synchronous;
 
--- a/crates/fenced/src/decision_log.rs
+++ b/crates/fenced/src/decision_log.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use goldcrest_decide::fenced::{FencedGroup, Member};
+use goldcrest_decide::fenced::{Eviction, FencedGroup, Member};
 use goldcrest_observe::RateLimiter;
 use goldcrest_types::{
     EndpointIx, Mark, Name, Refusal, ReplicationStatus, Statement, Timestamp, Verdict,
@@ -17,6 +17,9 @@
 /// several hundred requests per second.
 const LINES_PER_SECOND: u32 = 25;
 
+/// Limit for evicted connections.
+const EVICTION_LINES_PER_SECOND: u32 = 5;
+
 /// Limit for served requests, which are logged as a sample of normal operation.
 const SERVED_LINES_PER_SECOND: u32 = 1;
 
@@ -46,6 +49,7 @@
     served: RateLimiter,
     endpoints: RateLimiter,
     surveys: RateLimiter,
+    evictions: RateLimiter,
     /// Endpoints that were logged as lost.
     lost: BTreeSet<EndpointIx>,
     /// Time since which no leader has been answering.
@@ -61,6 +65,7 @@
             served: RateLimiter::new(SERVED_LINES_PER_SECOND),
             endpoints: RateLimiter::new(LINES_PER_SECOND),
             surveys: RateLimiter::new(LINES_PER_SECOND),
+            evictions: RateLimiter::new(EVICTION_LINES_PER_SECOND),
             lost: BTreeSet::new(),
             leaderless: None,
         }
@@ -138,6 +143,23 @@
         });
     }
 
+    /// Logs a connection that was closed in favour of another workspace.
+    pub(crate) fn evicted(&mut self, eviction: &Eviction, group: &FencedGroup, now: Timestamp) {
+        let Some(dropped) = self.evictions.admit(now) else {
+            return;
+        };
+        let member = group.members().iter().find(|m| m.ix == eviction.endpoint);
+        info!("connection evicted", kv: {
+            service = group.config().name.as_str(),
+            endpoint = member.map_or("", |m| m.name().as_str()),
+            workspace = eviction.from.as_str(),
+            needed_by = eviction.to.as_str(),
+            idle_ms = milliseconds(Some(eviction.idle)),
+            share = group.config().share,
+            dropped = dropped,
+        });
+    }
+
     /// Logs when a leader answers again after an outage. Returns how long the outage was.
     pub(crate) fn check_leader(&mut self, group: &FencedGroup, now: Timestamp) -> Option<Duration> {
         let healthy = group.leader().is_some_and(|m| !m.is_failing());
--- a/crates/fenced/src/directory.rs
+++ b/crates/fenced/src/directory.rs
@@ -10,8 +10,8 @@
     session_state::Freshness,
     share::{Demand, borrowable, share, standby},
 };
-use goldcrest_types::{KeyDigest, Name, SessionCommand, Statement, Timestamp};
-use spdlog::{error, info};
+use goldcrest_types::{Allowance, KeyDigest, Name, SessionCommand, Statement, Timestamp};
+use spdlog::{error, info, warn};
 use thiserror::Error;
 
 use crate::{Control, DiscoveredEndpoint, Handle};
@@ -53,6 +53,8 @@
     pub workspaces: Option<Workspaces>,
     /// How long a transaction may stay idle.
     pub idle: Duration,
+    /// What of it could not be used, a line each.
+    pub faults: Vec<String>,
 }
 
 /// Where a session sends its statements.
@@ -157,10 +159,17 @@
     }
 
     /// Applies a configuration, unless the current one is as new or newer.
-    pub fn apply(&mut self, configuration: Configuration) {
+    pub fn apply(&mut self, mut configuration: Configuration) {
         if configuration.version <= self.configuration.version {
             return;
         }
+        for fault in &configuration.faults {
+            warn!("in configuration {}: {}", configuration.version, fault);
+        }
+        if let Some(workspaces) = &mut configuration.workspaces {
+            let former = self.configuration.workspaces.as_ref();
+            log_kept_limits(configuration.version, &workspaces.keep_limits(former));
+        }
         info!(
             "configuration {} in force with {} routes, after {}",
             configuration.version,
@@ -219,12 +228,8 @@
         let route = route.ok_or(FindError::NoDatabase)?;
         let group = self.groups.get(&route.service);
         let group = group.ok_or(FindError::NoDatabase)?;
-        let workspace = match &self.configuration.workspaces {
-            Some(workspaces) => workspaces
-                .admit(key, route.open)
-                .ok_or(FindError::UnknownKey)?,
-            None => Name::new(),
-        };
+        let workspace = self.admit(key, route.open);
+        let workspace = workspace.ok_or(FindError::UnknownKey)?;
         let commands = if group.relayed {
             &group.handle.relay.commands
         } else {
@@ -238,6 +243,16 @@
         })
     }
 
+    /// Returns the workspace that a client works for, or `None` if it is not admitted. `open` tells
+    /// whether its database admits every client.
+    #[must_use]
+    pub fn admit(&self, key: &KeyDigest, open: bool) -> Option<Name> {
+        match &self.configuration.workspaces {
+            Some(workspaces) => workspaces.admit(key, open),
+            None => Some(Name::new()),
+        }
+    }
+
     /// Returns this host's own group of a service, for statements that other hosts send.
     #[must_use]
     pub fn local_group(&self, service: &str) -> Option<Sender<SessionCommand<Statement>>> {
@@ -317,6 +332,22 @@
     }
 }
 
+/// Logs the workspaces whose limit can't be read, and what limits them now.
+fn log_kept_limits(version: u64, kept: &[(Name, Option<Allowance>)]) {
+    for (workspace, allowance) in kept {
+        let in_force = allowance.map_or_else(
+            || "it is not limited, as before".to_owned(),
+            |Allowance { rate, burst }| {
+                format!("the former one stays in force, {rate} a second and {burst} at once")
+            },
+        );
+        warn!(
+            "in configuration {}: the limit of workspace {:?} can't be read, {}",
+            version, workspace, in_force
+        );
+    }
+}
+
 /// Returns this host's assignment for a group, and whether its requests go to other hosts.
 fn assignment(
     own: &Identity,
--- a/crates/fenced/src/group.rs
+++ b/crates/fenced/src/group.rs
@@ -255,6 +255,11 @@
             Action::Close(id) => {
                 self.connections.remove(&id);
             }
+            Action::Evict(eviction) => {
+                self.connections.remove(&eviction.connection);
+                let now = self.environment.clock.now();
+                self.decision_log.evicted(&eviction, &self.group, now);
+            }
             Action::Run(id, request, guard) => {
                 self.run_statement(id, request, guard);
             }
--- a/tests/common/platform.rs
+++ b/tests/common/platform.rs
@@ -1,7 +1,9 @@
 //! The platform's stand-ins on a thread of their own, and hosts as processes.
 
 use std::{
+    fs::File,
     net::SocketAddr,
+    path::Path,
     process::{Child, Command, Stdio},
     sync::mpsc,
     thread,
@@ -120,17 +122,25 @@
 }
 
 /// A row in the table of hosts that never expires.
-fn host_row(ip: &str, capacity: f64) -> String {
+pub fn host_row(ip: &str, capacity: f64) -> String {
     let until = u64::MAX;
     format!(
         r#"{{"until":{until},"needs":{{}},"contact":{{"region":"a","address":"{ip}:7440","capacity":{capacity}}}}}"#
     )
 }
 
-fn host_name(number: usize) -> String {
+pub fn host_name(number: usize) -> String {
     format!("host-{}", number + 1)
 }
 
+/// Where the output of a host goes.
+pub enum Output<'a> {
+    /// Nowhere.
+    Dropped,
+    /// Into this file, with log lines of all levels.
+    AllTo(&'a Path),
+}
+
 /// The process of a host.
 pub struct HostProcess {
     /// The process.
@@ -143,11 +153,24 @@
 impl HostProcess {
     /// Starts a host of a site.
     pub fn start(site: &Site<'_>, number: usize, store: SocketAddr, grace_s: u64) -> Self {
+        Self::start_with(site, number, store, grace_s, "", Output::Dropped)
+    }
+
+    /// The same with the first lines of its settings and a log.
+    pub fn start_with(
+        site: &Site<'_>,
+        number: usize,
+        store: SocketAddr,
+        grace_s: u64,
+        first_settings: &str,
+        output: Output<'_>,
+    ) -> Self {
         let (ip, capacity) = site.hosts[number];
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("local.toml");
         let settings = format!(
-            r#"NodeName = "{name}"
+            r#"{first_settings}
+NodeName = "{name}"
 Ip = "{ip}"
 Zone = "a-1"
 Region = "a"
@@ -170,13 +193,18 @@
             name = host_name(number),
         );
         std::fs::write(&path, settings).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_goldcrestusher"))
-            .arg("platform")
-            .env("GOLDCRESTUSHER_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_goldcrestusher"));
+        command.arg("platform").stdin(Stdio::null());
+        command.env("GOLDCRESTUSHER_CONFIG", &path);
+        match output {
+            Output::Dropped => command.stdout(Stdio::null()),
+            Output::AllTo(log) => {
+                let file = File::create(log).unwrap();
+                let errors = file.try_clone().unwrap();
+                command.args(["--log", "debug"]).stdout(file).stderr(errors)
+            }
+        };
+        let child = command.spawn().unwrap();
         Self {
             child,
             frontend: format!("{ip}:8784").parse().unwrap(),
