--- a/crates/fenced/tests/panics.rs
+++ b/crates/fenced/tests/panics.rs
@@ -79,6 +79,7 @@
         services: [(Name::from("svc"), RULES)].into(),
         workspaces: None,
         idle: WAIT,
+        faults: Vec::new(),
     }
 }
 
--- a/tests/common/platform.rs
+++ b/tests/common/platform.rs
@@ -134,6 +134,7 @@
 }
 
 /// Where the output of a host goes.
+#[derive(Debug, Clone, Copy)]
 pub enum Output<'a> {
     /// Nowhere.
     Dropped,
--- a/tests/secrets.rs
+++ b/tests/secrets.rs
@@ -88,7 +88,7 @@
 }
 
 fn copy(mut from: TcpStream, mut to: TcpStream, passed: &Sender<Vec<u8>>) {
-    let mut chunk = [0; 65_536];
+    let mut chunk = [0; 8_192];
     while let Ok(read) = from.read(&mut chunk)
         && read > 0
     {
@@ -228,7 +228,7 @@
             said.push((format!("the log of {}", host_name(number)), log));
         }
         let rows = self.standins.ask(|world| {
-            let rows = world.stores.iter().flat_map(|store| store.rows());
+            let rows = world.stores.iter().flat_map(goldcrest_standin::Store::rows);
             rows.collect::<Vec<_>>()
         });
         // Operators and endpoints write these tables.
