--- a/crates/decide/src/owners/mod.rs
+++ b/crates/decide/src/owners/mod.rs
@@ -86,7 +86,7 @@
 }
 
 /// Weighted rendezvous hashing, with weights that prefer hosts of high capacity.
-fn score(service: &str, candidate: &Candidate) -> f64 {
+pub(crate) fn score(service: &str, candidate: &Candidate) -> f64 {
     let key = [service.as_bytes(), b"\0", candidate.host.as_bytes()].concat();
     let fraction = (unit_interval(xxh3_64(&key))).max(f64::MIN_POSITIVE);
     let weight = candidate.capacity.powi(CAPACITY_EXPONENT);
--- a/crates/fenced/src/directory.rs
+++ b/crates/fenced/src/directory.rs
@@ -204,6 +204,13 @@
         self.configuration.version
     }
 
+    /// Whether a workspace may run only a limited number of operations.
+    #[must_use]
+    pub fn has_allowance(&self, workspace: &str) -> bool {
+        let workspaces = self.configuration.workspaces.as_ref();
+        workspaces.is_some_and(|w| w.allowance(workspace).is_some())
+    }
+
     /// Returns the handles of the groups.
     pub fn groups(&self) -> impl Iterator<Item = &Handle> {
         self.groups.values().map(|service| &service.handle)
--- a/crates/peers/src/relay/mod.rs
+++ b/crates/peers/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! receives the statement as its arrival, because the clocks of two hosts are not comparable. The
 //! later arrival makes the limit on accepted staleness stricter, which is always safe.
 
+mod allowance;
 mod client;
 mod server;
 mod tables;
@@ -11,13 +12,14 @@
 use std::time::Duration;
 
 use goldcrest_types::{
-    Class, Floor, Kind, Name, Pin, Reply, RequestHead, RequestId, Setting, Statement, StoreNotice,
-    SuccessionCommand, TableQuery, TableReply, Timestamp, TxStart,
+    AllowanceAnswer, AllowanceAsk, Class, Floor, Kind, Name, Pin, Reply, RequestHead, RequestId,
+    Setting, Statement, StoreNotice, SuccessionCommand, TableQuery, TableReply, Timestamp, TxStart,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 pub use self::{
+    allowance::{AllowanceHandle, AllowanceInput, AllowanceReport, CounterHosts, start_allowances},
     client::{Link, run_succession, start_links},
     server::{RelayHandlers, start},
     tables::{PublisherHandle, PublisherInput, TableClient, start_publisher},
@@ -34,6 +36,8 @@
     async fn run_succession(service: Name, command: SuccessionCommand) -> StoreNotice;
     /// Returns news of a table that this host follows. `None` if it has not read the table yet.
     async fn read_table(table: Name, query: TableQuery) -> Option<TableReply>;
+    /// Counts operations against the allowances of their workspaces. Returns an answer to each ask.
+    async fn count_operations(asks: Vec<AllowanceAsk>) -> Vec<AllowanceAnswer>;
     /// Shows that this host is live.
     async fn ping();
 }
--- a/crates/peers/src/relay/server.rs
+++ b/crates/peers/src/relay/server.rs
@@ -19,8 +19,8 @@
     enable_keepalive,
 };
 use goldcrest_types::{
-    EndpointIx, Floor, Lease, Name, NotRun, Pin, Refusal, Reply, RequestId, SessionCommand,
-    Statement, StoreNotice, SuccessionCommand, TableQuery, TableReply,
+    AllowanceAnswer, AllowanceAsk, EndpointIx, Floor, Lease, Name, NotRun, Pin, Refusal, Reply,
+    RequestId, SessionCommand, Statement, StoreNotice, SuccessionCommand, TableQuery, TableReply,
 };
 use spdlog::debug;
 use tarpc::{
@@ -30,7 +30,10 @@
     tokio_serde::formats::Bincode,
 };
 
-use super::{PublisherHandle, PublisherInput, RelayService, RelayedStatement};
+use super::{
+    AllowanceHandle, AllowanceInput, PublisherHandle, PublisherInput, RelayService,
+    RelayedStatement,
+};
 use crate::service::framed;
 
 /// The first session number for connections from other hosts. It lies above the numbers of client
@@ -65,6 +68,8 @@
     pub run_succession: Rc<RunSuccession>,
     /// Looks up the publisher of a table.
     pub find_table: Rc<FindTable>,
+    /// The task that counts operations, if allowances are in force.
+    pub allowances: Option<AllowanceHandle>,
 }
 
 /// Listens for other hosts.
@@ -130,6 +135,7 @@
     Release(Name, Pin),
     RunSuccession(Name, SuccessionCommand, Sender<StoreNotice>),
     ReadTable(Name, TableQuery, Sender<Option<TableReply>>),
+    CountOperations(Vec<AllowanceAsk>, Sender<Vec<AllowanceAnswer>>),
 }
 
 /// The RPC side of a connection, which passes calls on to the connection's task.
@@ -171,6 +177,13 @@
         replied.recv_async().await.ok().flatten()
     }
 
+    async fn count_operations(self, _: Context, asks: Vec<AllowanceAsk>) -> Vec<AllowanceAnswer> {
+        let (reply, replied) = flume::bounded(1);
+        let _ = self.calls.send(Call::CountOperations(asks, reply));
+        // A missing answer counts as an abstention.
+        replied.recv_async().await.unwrap_or_default()
+    }
+
     async fn ping(self, _: Context) {}
 }
 
@@ -240,6 +253,12 @@
                         let _ = publisher.send(PublisherInput::Query(query, reply));
                     }
                 }
+                Input::Call(Call::CountOperations(asks, reply)) => {
+                    if let Some(allowances) = &self.handlers.allowances {
+                        // The task runs as long as the host.
+                        let _ = allowances.send(AllowanceInput::Query(asks, reply));
+                    }
+                }
                 Input::Reply(reply) => self.handle_reply(reply),
                 Input::Shutdown(Shutdown::Drain) => self.close_at = Some(Instant::now() + LINGER),
                 Input::Shutdown(Shutdown::Finish(end)) => self.finish(end),
--- a/crates/peers/tests/relays.rs
+++ b/crates/peers/tests/relays.rs
@@ -65,6 +65,7 @@
                 let _ = reply.send(command.unknown_outcome());
             }),
             find_table: Rc::new(|_| None),
+            allowances: None,
         };
         let handle = start(address, clock, handlers).await.unwrap();
         let links = start_links(clock);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -29,5 +29,5 @@
     },
     table::{TableCursor, TableQuery, TableReply, TableUpdate},
     timestamp::Timestamp,
-    workspace::{Allowance, KeyDigest},
+    workspace::{Allowance, AllowanceAnswer, AllowanceAsk, KeyDigest},
 };
--- a/crates/types/src/workspace.rs
+++ b/crates/types/src/workspace.rs
@@ -1,6 +1,11 @@
 //! Workspaces: the digests of the keys by which clients are admitted, and the allowances.
 
-use std::fmt::{self, Debug, Formatter};
+use std::{
+    fmt::{self, Debug, Formatter},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
 
 use crate::Name;
 
@@ -31,3 +36,27 @@
     /// Operations beyond these in one window.
     pub burst: f64,
 }
+
+/// Operations of a workspace that a host asks a counter for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AllowanceAsk {
+    /// The workspace.
+    pub workspace: Name,
+    /// How many operations are to run.
+    pub count: u32,
+}
+
+/// A counter's answer to an [`AllowanceAsk`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AllowanceAnswer {
+    /// The first `count` operations may run. If they are fewer than asked for, another one may run
+    /// after `wait`.
+    Granted {
+        /// How many operations may run.
+        count: u32,
+        /// The time until another operation may run.
+        wait: Duration,
+    },
+    /// The host does not count the workspace's operations.
+    Abstained,
+}
