Bound how long an operation waits whose workspace has used up its allowance

Cause: a queue that has waited for a leader is sent at once, so more operations may reach endpoints in a window than were granted in it.

--- a/crates/decide/src/allowance/asker.rs
+++ b/crates/decide/src/allowance/asker.rs
@@ -19,6 +19,10 @@
 /// How long a counter that was silent or abstained is asked only if no other one is left.
 const AVOID_TIME: Duration = Duration::from_secs(1);
 
+/// How long an operation may wait for an endpoint whose workspace has all but used up its allowance. If
+/// those of a longer time arrived at once, more than the allowance would run in a window.
+const SEND_TIME: Duration = Duration::from_millis(200);
+
 /// When a client may return if no counter can be reached.
 const UNREACHABLE_RETRY: Duration = Duration::from_millis(500);
 
@@ -139,8 +143,14 @@
         let missing = AllowanceAnswer::Abstained;
         for (number, (workspace, asks)) in call.asks.iter().enumerate() {
             let answer = answers.and_then(|a| a.get(number)).unwrap_or(&missing);
+            let mut send_within = None;
             let granted = match answer {
-                AllowanceAnswer::Granted { count, wait } => {
+                AllowanceAnswer::Granted {
+                    count,
+                    wait,
+                    nearly_full,
+                } => {
+                    send_within = nearly_full.then_some(SEND_TIME);
                     if usize::try_from(*count).unwrap_or(usize::MAX) < asks.len() {
                         let until = now + *wait;
                         self.full
@@ -163,7 +173,9 @@
                 pending.waiting.retain(|call| *call != id);
                 if place < granted {
                     if let Some(pending) = self.pending.remove(ask) {
-                        actions.push(Action::Decide(*ask, Decision::Run, pending.tried));
+                        let used_up = self.others_full(&pending, &call.host, now);
+                        let decision = Decision::Run(send_within.filter(|_| used_up));
+                        actions.push(Action::Decide(*ask, decision, pending.tried));
                     }
                 } else {
                     self.advance(*ask, now, &mut actions);
@@ -173,6 +185,15 @@
         actions
     }
 
+    /// Whether all other counters of an operation's workspace are full.
+    fn others_full(&self, pending: &Pending, host: &Name, now: Timestamp) -> bool {
+        let mut others = pending.counters.iter().filter(|other| *other != host);
+        others.all(|other| {
+            let until = self.full.get(&(pending.workspace.clone(), other.clone()));
+            until.is_some_and(|until| *until > now)
+        })
+    }
+
     /// Asks the next counter of the operations whose counter is silent, and decides those that have
     /// waited long enough.
     pub fn tick(&mut self, now: Timestamp) -> Actions {
--- a/crates/decide/src/allowance/counter.rs
+++ b/crates/decide/src/allowance/counter.rs
@@ -15,6 +15,9 @@
 /// Number of entries for the assumed grants of a predecessor.
 const ASSUMED_ENTRIES: u32 = 50;
 
+/// Share of what a part grants in a window from which on it is nearly full.
+const NEARLY_FULL: f64 = 0.9;
+
 /// Operations that were granted at about the same time.
 #[derive(Debug)]
 struct Entry {
@@ -96,6 +99,7 @@
         AllowanceAnswer::Granted {
             count: granted,
             wait,
+            nearly_full: log.granted() >= part.sustained * NEARLY_FULL,
         }
     }
 }
@@ -144,6 +148,12 @@
         floor(room)
     }
 
+    /// Returns how many operations were granted in the window.
+    fn granted(&self) -> f64 {
+        let entries = self.entries.iter();
+        entries.map(|entry| f64::from(entry.granted)).sum()
+    }
+
     /// Returns the time until another operation may be granted.
     fn wait(&self, part: &Part, now: Timestamp) -> Duration {
         let mut wait = Duration::ZERO;
--- a/crates/decide/src/allowance/mod.rs
+++ b/crates/decide/src/allowance/mod.rs
@@ -34,8 +34,8 @@
 /// Whether an operation may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
-    /// It runs.
-    Run,
+    /// It runs, and must be sent within the time if there is one.
+    Run(Option<Duration>),
     /// The allowance is used up. The client may return after the time.
     Refuse(Duration),
     /// No counter could be reached. The client may return after the time.
@@ -128,6 +128,7 @@
             return AllowanceAnswer::Granted {
                 count: ask.count,
                 wait: Duration::ZERO,
+                nearly_full: false,
             };
         };
         let counters = self.counters(&ask.workspace, allowance, now);
@@ -157,7 +158,7 @@
     pub fn ask(&mut self, id: AskId, workspace: &Name, now: Timestamp) -> Actions {
         let limits = self.limits.as_ref();
         let Some(allowance) = limits.and_then(|limits| limits.get(workspace)).copied() else {
-            return SmallVec::from_iter([Action::Decide(id, Decision::Run, Counters::new())]);
+            return SmallVec::from_iter([Action::Decide(id, Decision::Run(None), Counters::new())]);
         };
         let mut counters = self.counters(workspace, allowance, now);
         let own = self.roster.own();
--- a/crates/decide/tests/allowance.rs
+++ b/crates/decide/tests/allowance.rs
@@ -65,6 +65,7 @@
                 workspace.name
             );
             assert_eq!(workspace.unreachable.len(), 0, "seed {seed}");
+            assert_eq!(workspace.hurried, 0, "seed {seed}, {}", workspace.name);
             let missing = workspace.asked.len() - workspace.ran.len();
             assert!(missing <= 5, "seed {seed}: {missing} under way");
         }
--- a/crates/decide/tests/allowance_fleet/checks.rs
+++ b/crates/decide/tests/allowance_fleet/checks.rs
@@ -14,6 +14,7 @@
             hot: (1.0, 0),
             asked: Vec::new(),
             ran: Vec::new(),
+            hurried: 0,
             refused: Vec::new(),
             unreachable: Vec::new(),
         }
--- a/crates/decide/tests/allowance_fleet/mod.rs
+++ b/crates/decide/tests/allowance_fleet/mod.rs
@@ -110,6 +110,8 @@
     hot: (f64, u64),
     pub asked: Vec<u64>,
     pub ran: Vec<u64>,
+    /// How many of those that ran had to be sent at once.
+    pub hurried: usize,
     pub refused: Vec<u64>,
     pub unreachable: Vec<u64>,
 }
@@ -419,7 +421,10 @@
                     }
                     let workspace = &mut self.workspaces[number];
                     match decision {
-                        Decision::Run => workspace.ran.push(self.now),
+                        Decision::Run(within) => {
+                            workspace.ran.push(self.now);
+                            workspace.hurried += usize::from(within.is_some());
+                        }
                         Decision::Refuse(_) => workspace.refused.push(self.now),
                         Decision::Unreachable(_) => workspace.unreachable.push(self.now),
                     }
--- a/crates/types/src/workspace.rs
+++ b/crates/types/src/workspace.rs
@@ -56,6 +56,8 @@
         count: u32,
         /// The time until another operation may run.
         wait: Duration,
+        /// Whether hardly any more may run in the window.
+        nearly_full: bool,
     },
     /// The host does not count the workspace's operations.
     Abstained,
