Limit the statements that an endpoint gets at once, and order waiting requests by urgency and fairly

Cause: an endpoint that slows down before it is full was sent as much as connections allowed; urgency and the workspace of a request did not count in the queue; after a power failure an owner opened one connection to each endpoint for 3.5 s. A request's place depends on its priority and on what its workspace has waiting. Owners open what is certainly free while endpoints count lost connections.

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -187,7 +187,11 @@
         }
         match &result.verdict {
             Verdict::Done => self.statement_succeeded(&run, result, now, out),
-            Verdict::Failed(_) | Verdict::Refused(_) => deliver(&run, result, out),
+            Verdict::Failed(_) => {
+                self.record_failed(&run, now);
+                deliver(&run, result, out);
+            }
+            Verdict::Refused(_) => deliver(&run, result, out),
             Verdict::Busy | Verdict::Behind | Verdict::NotPrimary => {
                 self.statement_not_run(run, result, now, out);
             }
@@ -302,6 +306,7 @@
             service_time = elapsed.saturating_sub(member.info.latency * 2);
         }
         self.record_cost(&run.request.head.database, service_time);
+        self.record_served(run, service_time, now);
     }
 
     /// Retries a request that an endpoint did not run, unless it belongs to an open transaction.
@@ -351,6 +356,7 @@
             }
             _ => {
                 self.counts.busy += 1;
+                self.record_failed(run, now);
                 if let Some(member) = self.member_mut(run.endpoint) {
                     member.record_busy(now);
                 }
--- a/crates/decide/src/fenced/closing.rs
+++ b/crates/decide/src/fenced/closing.rs
@@ -32,8 +32,11 @@
             Some((*unsent.0, false))
         });
         if let Some((id, sent)) = under_way
-            && self.running.get(&id).is_some_and(current)
+            && let Some(run) = self.running.get(&id).filter(|run| current(run))
         {
+            if sent {
+                self.record_failed(&run.clone(), now);
+            }
             self.request_lost(id, sent, now, out);
         }
     }
--- a/crates/decide/src/fenced/dispatch.rs
+++ b/crates/decide/src/fenced/dispatch.rs
@@ -76,7 +76,7 @@
                     self.run(run, out);
                 }
                 Dispatch::Queue(endpoint) => {
-                    if !self.queue_at(endpoint, &request, now, out) {
+                    if !self.queue_at(endpoint, &mut request, now, out) {
                         unopened.push((endpoint, request.head.workspace.clone()));
                     }
                     request.reason = NotRun::Late;
@@ -123,7 +123,7 @@
             None => Guard::None,
         };
         let idle = member.idle_for(&request.head.workspace);
-        match idle.filter(|connection| member.may_use(*connection)) {
+        match idle.filter(|connection| member.may_use(*connection) && member.has_room()) {
             Some(connection) => Dispatch::Run(member.ix, connection, guard),
             None => Dispatch::Queue(member.ix),
         }
@@ -150,12 +150,11 @@
 
     /// Estimates how long a request takes at an endpoint, with penalties.
     fn cost(&self, m: &Member, request: &WaitingRequest, read: bool) -> Duration {
-        let connections = u32::try_from(m.connections.len().max(1)).unwrap_or(u32::MAX);
         let mut cost = m.info.latency * 2 + m.service_time + m.service_time * m.running() / 2;
         if m.connections.is_empty() {
             cost += OPEN_COST;
-        } else if m.idle_for(&request.head.workspace).is_none() {
-            cost += m.service_time * (m.queued + 1) / connections;
+        } else if m.idle_for(&request.head.workspace).is_none() || !m.has_room() {
+            cost += m.service_time * (m.queued + 1) / m.width();
             if !m.serves(&request.head.workspace) {
                 cost += OPEN_COST;
             }
@@ -183,16 +182,21 @@
     fn queue_at(
         &mut self,
         endpoint: EndpointIx,
-        request: &WaitingRequest,
+        request: &mut WaitingRequest,
         now: Timestamp,
         out: &mut Actions,
     ) -> bool {
         let (share, borrowable) = (self.share_at(now), self.borrowable);
-        let workspace = &request.head.workspace;
+        let workspace = &request.head.workspace.clone();
         let Some(member) = self.member_mut(endpoint) else {
             return true;
         };
         let wanted = member.count_queued(workspace);
+        if !member.has_room() && member.serves(workspace) {
+            // A further connection would wait for the limit, too.
+            self.record_held_back(endpoint, request);
+            return true;
+        }
         member.borrow_connection(share, borrowable, now);
         let is_under_way = member.opening_for(workspace) >= wanted.min(OPENING_LIMIT);
         if is_under_way || member.opening() >= TOTAL_OPENING_LIMIT {
--- a/crates/decide/src/fenced/events.rs
+++ b/crates/decide/src/fenced/events.rs
@@ -29,6 +29,10 @@
     pub connections: usize,
     /// Connections that it may open beyond these while requests wait and the endpoint accepts them.
     pub borrowable: usize,
+    /// Connections that it may open to each endpoint until [`GroupConfig::settled_at`].
+    ///
+    /// [`GroupConfig::settled_at`]: super::GroupConfig::settled_at
+    pub settling: usize,
     /// Whether it replaces a leader that is shutting down even when none of its clients uses the
     /// group.
     pub replaces_leaving: bool,
--- a/crates/decide/src/fenced/members.rs
+++ b/crates/decide/src/fenced/members.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::MemberInfo;
+use crate::concurrency::Limit;
 
 /// Assumed service time of an endpoint before any measurement. Between the mean times of the kinds
 /// of statements in use (2.5 to 13 ms).
@@ -134,6 +135,8 @@
     /// End of the pause after the endpoint had no free slot.
     busy_until: Timestamp,
     lag_report: Option<LagReport>,
+    /// How many statements of this host it takes well at once, if that is limited.
+    pub(super) limit: Option<Limit>,
 }
 
 /// Replication lag of an endpoint, as of its last answer.
@@ -171,6 +174,7 @@
             queue_since: None,
             busy_until: Timestamp::ZERO,
             lag_report: None,
+            limit: None,
         }
     }
 
--- a/crates/decide/src/fenced/membership.rs
+++ b/crates/decide/src/fenced/membership.rs
@@ -7,6 +7,7 @@
     Action, Actions, FencedGroup, IDLE_LIMIT, Member, MemberInfo,
     members::{BORROW_IDLE, ConnectionState},
 };
+use crate::concurrency::Limit;
 
 impl FencedGroup {
     /// Applies the list of endpoints from discovery.
@@ -45,7 +46,10 @@
     fn add_member(&mut self, info: MemberInfo, now: Timestamp) {
         let ix = EndpointIx(self.next_member);
         self.next_member = self.next_member.wrapping_add(1);
-        self.members.push(Member::new(info, ix, now));
+        let limit = self.config.limited.then(|| Limit::new(info.latency * 2));
+        let mut member = Member::new(info, ix, now);
+        member.limit = limit;
+        self.members.push(member);
     }
 
     /// Removes an endpoint with its connections. Requests that run there are treated as lost.
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -9,8 +9,10 @@
 mod closing;
 mod dispatch;
 mod events;
+mod limits;
 mod members;
 mod membership;
+mod order;
 mod pausing;
 mod requests;
 mod samples;
@@ -72,9 +74,12 @@
     pub share: usize,
     /// How long a leader that is shutting down still receives writes.
     pub drain: Duration,
-    /// Until then this host opens one connection to each endpoint. After a power failure an endpoint
+    /// Until then this host opens few connections to each endpoint. After a power failure an endpoint
     /// still counts the lost connections of all hosts, and what is left must do for all.
     pub settled_at: Timestamp,
+    /// Whether the endpoints slow down long before they are full, so that each gets no more statements
+    /// at once than it takes well.
+    pub limited: bool,
 }
 
 /// A request that waits for a connection, a leader or a sufficiently fresh endpoint.
@@ -93,6 +98,8 @@
     avoid: SmallVec<[EndpointIx; 2]>,
     /// Why the request has not run yet.
     reason: NotRun,
+    /// Whether an endpoint's limit of concurrent statements has made it wait.
+    held_back: bool,
 }
 
 /// A request that was sent to an endpoint and has no answer yet.
@@ -127,6 +134,12 @@
     pub opened: u64,
     /// Idle connections closed in favour of another workspace.
     pub evicted: u64,
+    /// Times that an endpoint's limit of concurrent statements was lowered.
+    pub limits_lowered: u64,
+    /// Times that an endpoint's limit of concurrent statements was raised.
+    pub limits_raised: u64,
+    /// Requests that waited because of such a limit.
+    pub held_back: u64,
     /// Connections that an endpoint rejected because it was at its connection limit.
     pub full: u64,
     /// Connections lost.
@@ -170,6 +183,8 @@
     succession: Succession,
     /// Connections to an endpoint that may be opened beyond the share.
     borrowable: usize,
+    /// Connections that may be opened to each endpoint until `settled_at`.
+    settling: usize,
     /// Whether a leader that is shutting down is replaced even without requests.
     replaces_leaving: bool,
     /// Replicas that have received a commit before it is acknowledged.
@@ -205,6 +220,7 @@
             running: BTreeMap::new(),
             succession: Succession::default(),
             borrowable: 0,
+            settling: 1,
             replaces_leaving: true,
             sync_replicas: 0,
             budget: RetryBudget::new(),
@@ -342,6 +358,7 @@
     fn assign(&mut self, assignment: Assignment) {
         self.config.share = assignment.connections;
         self.borrowable = assignment.borrowable;
+        self.settling = assignment.settling;
         self.replaces_leaving = assignment.replaces_leaving;
         self.sync_replicas = assignment.sync_replicas;
     }
@@ -349,7 +366,7 @@
     /// Returns the number of connections that this host may open to an endpoint.
     fn share_at(&self, now: Timestamp) -> usize {
         let limit = if now < self.config.settled_at {
-            1
+            self.settling
         } else {
             usize::MAX
         };
--- a/crates/decide/src/fenced/requests.rs
+++ b/crates/decide/src/fenced/requests.rs
@@ -13,10 +13,6 @@
 };
 use crate::retry::{self, LossOutcome, MAX_ATTEMPTS};
 
-/// Weight of a statement's expected cost in the order of the queue: a statement of 2.5 ms is
-/// dispatched before one of 13 ms that arrived up to 0.25 s earlier.
-const COST_WEIGHT: u32 = 25;
-
 /// Weight of the moving average of costs: a new value counts one part in this many.
 const COST_SMOOTHING: u32 = 16;
 
@@ -47,6 +43,7 @@
             maybe_run: false,
             avoid: SmallVec::new(),
             reason: NotRun::Late,
+            held_back: false,
         };
         match request.head.pin {
             Some(pin) => self.run_held(request, pin.endpoint, pin.lease, now, out),
@@ -54,13 +51,12 @@
         }
     }
 
-    /// Queues a request by its latest start time plus its weighted expected cost.
+    /// Queues a request at its place.
     ///
-    /// Under a load peak, when more work waits than the endpoints can run, short statements are
-    /// thus served before long ones, and long ones move forward as they age.
+    /// Under a load peak, when more work waits than the endpoints can run, urgent and short statements
+    /// are thus served before others, and those move forward as they age.
     pub(super) fn wait(&mut self, mut request: WaitingRequest) {
-        let cost = self.costs.get(&request.head.database).copied();
-        request.queue_key = request.head.start_by + cost.unwrap_or_default() * COST_WEIGHT;
+        request.queue_key = self.queue_key(&request);
         let at = self
             .waiting
             .partition_point(|w| w.queue_key <= request.queue_key);
@@ -166,6 +162,7 @@
         let run = run.clone();
         let (connection, endpoint, sent) = (run.connection, run.endpoint, run.sent_at);
         self.record_unanswered(&run, now);
+        self.record_failed(&run, now);
         // The connection stays open until the statement ends: setting up a new one would take a
         // slot of a busy endpoint.
         self.set_state(connection, ConnectionState::Abandoned(sent));
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod concurrency;
 pub mod configuration;
 pub mod fence;
 pub mod fenced;
--- a/crates/decide/src/share/mod.rs
+++ b/crates/decide/src/share/mod.rs
@@ -88,6 +88,17 @@
     reserve(total, hosts) / 2
 }
 
+/// Returns how many connections a host may open to an endpoint that may still count the lost
+/// connections of a power failure.
+///
+/// `hosts` counts the standby. The part that is kept for it, and half of the reserve, were not in use
+/// before the failure: that room is divided among all, with a margin.
+#[must_use]
+pub fn settling(total: usize, hosts: usize) -> usize {
+    let spare = (total - reserve(total, hosts)) / hosts.max(1);
+    (spare / hosts.max(1)).max(1)
+}
+
 fn weight(demand: &Demand) -> f64 {
     if demand.need.is_finite() && demand.need > 0.0 {
         demand.need
--- a/crates/decide/tests/fenced.rs
+++ b/crates/decide/tests/fenced.rs
@@ -531,6 +531,7 @@
         share: 3,
         drain: std::time::Duration::from_secs(5),
         settled_at: Timestamp::from_millis(13_500),
+        limited: false,
     };
     let mut harness = Harness::with_config(config);
     for id in 1..=6 {
--- a/crates/decide/tests/fenced_group/mod.rs
+++ b/crates/decide/tests/fenced_group/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod pool;
+pub mod peak;
 pub mod simulation;
 pub mod synchronous;
 
@@ -115,6 +116,7 @@
             share: 3,
             drain: Duration::from_secs(5),
             settled_at: Timestamp::ZERO,
+            limited: false,
         })
     }
 
--- a/crates/decide/tests/fenced_group/pool.rs
+++ b/crates/decide/tests/fenced_group/pool.rs
@@ -103,6 +103,7 @@
             share: load.share,
             drain: Duration::from_secs(5),
             settled_at: Timestamp::ZERO,
+            limited: false,
         };
         let mut pool = Self {
             load,
--- a/crates/decide/tests/fenced_group/simulation.rs
+++ b/crates/decide/tests/fenced_group/simulation.rs
@@ -109,6 +109,7 @@
                 share: *share,
                 drain: Duration::from_secs(5),
                 settled_at: Timestamp::ZERO,
+                limited: false,
             }));
         }
         for host in 0..shares.len() {
@@ -125,6 +126,7 @@
             let assignment = Assignment {
                 connections: *share,
                 borrowable,
+                settling: 1,
                 replaces_leaving: true,
                 sync_replicas: 0,
             };
--- a/crates/decide/tests/fenced_group/synchronous.rs
+++ b/crates/decide/tests/fenced_group/synchronous.rs
@@ -94,6 +94,7 @@
             share: 3,
             drain: Duration::from_secs(20),
             settled_at: Timestamp::ZERO,
+            limited: false,
         });
         Self {
             rule,
@@ -130,6 +131,7 @@
         self.step(Event::Assign(Assignment {
             connections: 3,
             borrowable: 0,
+            settling: 1,
             replaces_leaving: true,
             sync_replicas: self.rule.sync_replicas,
         }));
--- a/crates/decide/tests/synchronous.rs
+++ b/crates/decide/tests/synchronous.rs
@@ -15,6 +15,7 @@
     let assignment = Assignment {
         connections: 3,
         borrowable: 0,
+        settling: 1,
         replaces_leaving: true,
         sync_replicas: 1,
     };
--- a/crates/decide/tests/workspace_pool.rs
+++ b/crates/decide/tests/workspace_pool.rs
@@ -51,6 +51,7 @@
         share,
         drain: Duration::from_secs(5),
         settled_at: Timestamp::ZERO,
+        limited: false,
     });
     harness.set_members(vec![fenced_group::member("leader", 1, true)]);
     harness
--- a/crates/fenced/src/decision_log.rs
+++ b/crates/fenced/src/decision_log.rs
@@ -2,9 +2,15 @@
 //!
 //! Each kind of line is rate-limited. The next line of a kind says how many were dropped before it.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use goldcrest_decide::fenced::{Eviction, FencedGroup, Member};
+use goldcrest_decide::{
+    concurrency::Limit,
+    fenced::{Eviction, FencedGroup, Member},
+};
 use goldcrest_observe::RateLimiter;
 use goldcrest_types::{
     EndpointIx, Mark, Name, Refusal, ReplicationStatus, Statement, Timestamp, Verdict,
@@ -50,6 +56,9 @@
     endpoints: RateLimiter,
     surveys: RateLimiter,
     evictions: RateLimiter,
+    limits: RateLimiter,
+    /// When the limit of an endpoint last changed, as of the last call.
+    changed: BTreeMap<EndpointIx, Timestamp>,
     /// Endpoints that were logged as lost.
     lost: BTreeSet<EndpointIx>,
     /// Time since which no leader has been answering.
@@ -66,6 +75,8 @@
             endpoints: RateLimiter::new(LINES_PER_SECOND),
             surveys: RateLimiter::new(LINES_PER_SECOND),
             evictions: RateLimiter::new(EVICTION_LINES_PER_SECOND),
+            limits: RateLimiter::new(LINES_PER_SECOND),
+            changed: BTreeMap::new(),
             lost: BTreeSet::new(),
             leaderless: None,
         }
@@ -264,6 +275,34 @@
             }
         }
     }
+
+    /// Logs the limits of concurrent statements that changed since the last call, with what decided it.
+    pub(crate) fn check_limits(&mut self, group: &FencedGroup, now: Timestamp) {
+        for member in group.members() {
+            let Some(change) = member.limit().and_then(Limit::last_change) else {
+                continue;
+            };
+            if self.changed.insert(member.ix, change.at) == Some(change.at) {
+                continue;
+            }
+            let Some(dropped) = self.limits.admit(now) else {
+                continue;
+            };
+            info!("endpoint limit changed", kv: {
+                service = group.config().name.as_str(),
+                endpoint = member.name().as_str(),
+                from = change.from,
+                to = change.to,
+                cause = format!("{:?}", change.cause).as_str(),
+                mean_us = microseconds(change.mean),
+                usual_us = microseconds(change.usual),
+                answers = change.answers,
+                failures = change.failures,
+                oldest_ms = milliseconds(Some(now.since(change.since))),
+                dropped = dropped,
+            });
+        }
+    }
 }
 
 fn leader(group: &FencedGroup) -> Name {
@@ -283,3 +322,8 @@
 fn milliseconds(duration: Option<Duration>) -> i64 {
     duration.map_or(-1, |d| i64::try_from(d.as_millis()).unwrap_or(i64::MAX))
 }
+
+/// Converts a duration to microseconds, or returns -1 if there is none.
+fn microseconds(duration: Option<Duration>) -> i64 {
+    duration.map_or(-1, |d| i64::try_from(d.as_micros()).unwrap_or(i64::MAX))
+}
--- a/crates/fenced/src/directory.rs
+++ b/crates/fenced/src/directory.rs
@@ -8,7 +8,7 @@
     fenced::{Assignment, GroupConfig},
     owners::{Candidate, Holders, failover_order, holders},
     session_state::Freshness,
-    share::{Demand, borrowable, share, standby},
+    share::{Demand, borrowable, settling, share, standby},
 };
 use goldcrest_types::{Allowance, KeyDigest, Name, SessionCommand, Statement, Timestamp};
 use spdlog::{error, info, warn};
@@ -138,7 +138,7 @@
     sync_replicas: 0,
 };
 
-/// How long after its start, when its clock is at zero, a host opens one connection to each
+/// How long after its start, when its clock is at zero, a host opens few connections to each
 /// endpoint. An endpoint drops a connection whose host has vanished after 3 s.
 const SETTLING_TIME: Duration = Duration::from_millis(3_500);
 
@@ -328,6 +328,7 @@
             share: INITIAL_SHARE,
             drain: self.drain,
             settled_at: Timestamp::ZERO + SETTLING_TIME,
+            limited: false,
         };
         let group = (self.start)(config);
         self.send_members(service, &group);
@@ -376,6 +377,7 @@
         let assignment = Assignment {
             connections: share(total, &demands, &own.host),
             borrowable: borrowable(total, demands.len()),
+            settling: 1,
             replaces_leaving: true,
             sync_replicas,
         };
@@ -394,6 +396,7 @@
     let assignment = Assignment {
         connections: share(total, &demands, &holder),
         borrowable: borrowable(total, demands.len()),
+        settling: settling(total, demands.len()),
         replaces_leaving: owns,
         sync_replicas,
     };
--- a/crates/fenced/src/group.rs
+++ b/crates/fenced/src/group.rs
@@ -11,7 +11,10 @@
 use compio::time::timeout_at;
 use flume::{Receiver, Sender};
 use futures_util::{FutureExt, pin_mut, select_biased};
-use goldcrest_decide::fenced::{Action, Event, FencedGroup, GroupConfig};
+use goldcrest_decide::{
+    concurrency::Limit,
+    fenced::{Action, Event, FencedGroup, GroupConfig, Member},
+};
 use goldcrest_types::{
     Answer, ConnectionCommand, ConnectionId, ConnectionNotice, EndpointIx, Floor, Guard, Name,
     Outcome, Pin, Refusal, ReplicationStatus, Reply, RequestId, Role, SessionCommand, Statement,
@@ -200,6 +203,7 @@
             self.execute(action);
         }
         self.decision_log.check_endpoints(&self.group, now);
+        self.decision_log.check_limits(&self.group, now);
         if let Some(duration) = self.decision_log.check_leader(&self.group, now) {
             self.record_duration(DurationKind::Leaderless, duration);
         }
@@ -409,12 +413,15 @@
     fn stats(&self) -> GroupStats {
         let (waiting, running) = self.group.load();
         let age = self.group.sample_age(self.environment.clock.now());
+        let limits = self.group.members().iter().filter_map(Member::limit);
+        let limits = limits.map(Limit::current);
         GroupStats {
             name: self.group.config().name.clone(),
             counts: self.group.counts(),
             waiting,
             running,
             connections: self.connections.len(),
+            lowest_limit: limits.min(),
             need: f64::from(self.group.need()),
             sample_age: age.map(|a| a.as_millis()),
         }
--- a/crates/fenced/src/lib.rs
+++ b/crates/fenced/src/lib.rs
@@ -47,6 +47,8 @@
     pub running: usize,
     /// Connections to all endpoints.
     pub connections: usize,
+    /// The lowest limit of concurrent statements at an endpoint, if they are limited.
+    pub lowest_limit: Option<u32>,
     /// Connections to the leader that are in use or waited for.
     pub need: f64,
     /// The age of the newest sample of the leader, in milliseconds. `None` without a sample.
