Refuse at its arrival what can't be served in time, and test what owners open after a restart

Cause: in an overload that lasts, a request that couldn't be served was held until its latest start and told to return after 200 ms. Change: decide::fenced::hopeless measures the rate of service while requests wait, and refuses a request if the work ahead of it takes 1.5 times as long as it may wait, unless the host may still open connections. The time to return follows the excess, spread over twice its length. In force where endpoints are limited, and for requests of workspaces. Log fields needed_ms, left_ms and measured_ms.

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -290,6 +290,7 @@
                 _ => self.counts.primary_reads += 1,
             }
         }
+        self.record_work(&run.request);
         self.record_times(run, now);
         deliver(run, result, out);
     }
--- a/crates/decide/src/fenced/limits.rs
+++ b/crates/decide/src/fenced/limits.rs
@@ -19,9 +19,7 @@
         }
         let database = &run.request.head.database;
         let own = self.costs.get(database).copied().unwrap_or(took);
-        let sum: Duration = self.costs.values().sum();
-        let databases = u32::try_from(self.costs.len().max(1)).unwrap_or(u32::MAX);
-        let (own, mean) = (own.as_secs_f64(), (sum / databases).as_secs_f64());
+        let (own, mean) = (own.as_secs_f64(), self.mean_cost().as_secs_f64());
         let comparable = if own > 0.0 {
             took.mul_f64(mean / own)
         } else {
--- a/crates/decide/src/fenced/members.rs
+++ b/crates/decide/src/fenced/members.rs
@@ -259,6 +259,14 @@
         }
     }
 
+    /// Whether more connections may be opened to a usable endpoint, up to `limit` of them.
+    pub(super) fn may_grow(&self, limit: usize) -> bool {
+        !self.unlisted
+            && !self.is_failing()
+            && self.connections.len() < limit
+            && !self.is_saturated()
+    }
+
     /// Records that no request waits for the endpoint any more.
     pub(super) fn queue_ended(&mut self, share: usize) {
         self.queue_since = None;
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -9,6 +9,7 @@
 mod closing;
 mod dispatch;
 mod events;
+mod hopeless;
 mod limits;
 mod members;
 mod membership;
@@ -30,11 +31,13 @@
 
 pub use self::{
     events::{Action, Actions, Assignment, Event, Eviction, MemberInfo},
+    hopeless::Estimate,
     members::Member,
     succession::LEASE_USE,
 };
 use self::{
-    members::ConnectionState, requests::ABANDONED_LIMIT, samples::Samples, succession::Succession,
+    hopeless::ServiceRate, members::ConnectionState, requests::ABANDONED_LIMIT, samples::Samples,
+    succession::Succession,
 };
 use crate::retry::RetryBudget;
 
@@ -128,6 +131,8 @@
     pub busy: u64,
     /// Requests refused as not run.
     pub refused: u64,
+    /// Those of them that were refused at their arrival.
+    pub refused_early: u64,
     /// Requests whose outcome is unknown.
     pub unknown: u64,
     /// Connections opened.
@@ -192,6 +197,9 @@
     budget: RetryBudget,
     /// Moving average of the time that a database's statements take at an endpoint.
     costs: BTreeMap<Name, Duration>,
+    /// The rates of service of requests that only the leader may run, and of the others.
+    rates: [ServiceRate; 2],
+    last_estimate: Option<Estimate>,
     counts: Counts,
     next_connection: u64,
     next_member: u16,
@@ -225,6 +233,8 @@
             sync_replicas: 0,
             budget: RetryBudget::new(),
             costs: BTreeMap::new(),
+            rates: <[ServiceRate; 2]>::default(),
+            last_estimate: None,
             counts: Counts::default(),
             next_connection: 0,
             next_member: 0,
@@ -257,6 +267,7 @@
         self.advance_succession(now, &mut out);
         self.resume_replicas(now, &mut out);
         self.dispatch_waiting(now, &mut out);
+        self.record_queues(now);
         self.probe_leader(now, &mut out);
         self.close_idle(now, &mut out);
         self.close_abandoned(now, &mut out);
--- a/crates/decide/src/fenced/order.rs
+++ b/crates/decide/src/fenced/order.rs
@@ -51,8 +51,14 @@
         backlog.saturating_mul(sharing) / running
     }
 
+    /// Returns the mean of the times that the databases' statements are expected to take.
+    pub(super) fn mean_cost(&self) -> Duration {
+        let sum: Duration = self.costs.values().sum();
+        sum / u32::try_from(self.costs.len().max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Returns the time that a request's statement is expected to take at an endpoint.
-    fn cost_of(&self, request: &WaitingRequest) -> Duration {
+    pub(super) fn cost_of(&self, request: &WaitingRequest) -> Duration {
         let cost = self.costs.get(&request.head.database).copied();
         cost.unwrap_or_default()
     }
--- a/crates/decide/src/fenced/requests.rs
+++ b/crates/decide/src/fenced/requests.rs
@@ -47,6 +47,7 @@
         };
         match request.head.pin {
             Some(pin) => self.run_held(request, pin.endpoint, pin.lease, now, out),
+            None if self.refuse_hopeless(&request, now, out) => {}
             None => self.wait(request),
         }
     }
@@ -246,12 +247,23 @@
         request: &WaitingRequest,
         reason: NotRun,
         out: &mut Actions,
+    ) {
+        self.refuse_until(request, reason, retry::RETRY_AFTER, out);
+    }
+
+    /// The same with the time after which the client is to return.
+    pub(super) fn refuse_until(
+        &mut self,
+        request: &WaitingRequest,
+        reason: NotRun,
+        retry: Duration,
+        out: &mut Actions,
     ) {
         self.counts.refused += 1;
         let refusal = match (request.maybe_run, request.tx_start) {
             (false, _) => Refusal::NotRun {
                 reason,
-                retry: Some(retry::RETRY_AFTER),
+                retry: Some(retry),
             },
             (true, TxStart::None) => Refusal::Timeout,
             (true, _) => Refusal::TransactionLost,
--- a/crates/decide/src/retry/mod.rs
+++ b/crates/decide/src/retry/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use goldcrest_types::{Kind, RequestHead, Timestamp};
+use goldcrest_types::{Kind, RequestHead, RequestId, Timestamp};
 
 /// The number of retries allowed per 100 recent requests.
 const RETRY_PERCENT: u64 = 20;
@@ -19,6 +19,25 @@
 /// How long a refused client is told to wait before it retries.
 pub const RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// The longest time that a refused client is told to wait, shorter than most clients' patience.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Number of steps over which the returns of refused clients are spread.
+const SPREAD_STEPS: u64 = 64;
+
+/// Returns how long a client waits before it retries, if what is ahead of it ends in `excess`.
+///
+/// The clients of a crowd are told times between one and two times as long, so that they do not return
+/// together.
+#[must_use]
+pub fn return_time(excess: Duration, id: RequestId) -> Duration {
+    let earliest = excess.clamp(RETRY_AFTER, MAX_RETRY_AFTER / 2);
+    // Neighbouring numbers get times that are far apart.
+    let step = id.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+    let step = u32::try_from(step % SPREAD_STEPS).unwrap_or_default();
+    earliest + earliest * step / u32::try_from(SPREAD_STEPS).unwrap_or(u32::MAX)
+}
+
 /// What happens to a request after its connection was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LossOutcome {
--- a/crates/decide/tests/scarce.rs
+++ b/crates/decide/tests/scarce.rs
@@ -8,7 +8,7 @@
 use fenced_group::simulation::{Load, Simulation};
 use goldcrest_decide::{
     owners::{Candidate, Holders, holders, ranking},
-    share::{Demand, share, standby},
+    share::{Demand, settling, share, standby},
 };
 use goldcrest_types::Name;
 
@@ -74,3 +74,30 @@
     assert!(owned.served > single.served, "{summary}");
     insta::assert_snapshot!(summary);
 }
+
+/// 120 writes of 18 ms per second for three seconds, at six slots 12 ms away.
+const RESTART: Load = Load {
+    connections: 24,
+    slots: 6,
+    queue: 32,
+    open_cost: 24,
+    write_cost: 36,
+    latency: 24,
+    pause: 17,
+    arrivals: 6_000,
+    steps: 8_000,
+};
+
+#[test]
+fn owners_that_restart_serve_more_with_the_connections_that_are_certainly_free() {
+    let play = |settling: usize| {
+        let mut simulation = Simulation::new(RESTART, &[settling; 3]);
+        simulation.run(|number| usize::try_from(number).unwrap() % 3);
+        simulation
+    };
+    let (one, more) = (play(1), play(settling(79, 4)));
+    let summary = format!("one each: {}\nmore: {}", one.summary(), more.summary());
+    assert!(more.served > one.served, "{summary}");
+    assert_eq!(more.refused, 0, "{summary}");
+    insta::assert_snapshot!(summary);
+}
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -1,6 +1,6 @@
 //! Shares of an endpoint's connections among hosts.
 
-use goldcrest_decide::share::{Demand, share};
+use goldcrest_decide::share::{Demand, borrowable, settling, share, standby};
 use goldcrest_types::Name;
 use rstest::rstest;
 
@@ -51,6 +51,38 @@
     );
 }
 
+#[rstest]
+#[case::few(46, 3)]
+#[case::catalogue(56, 3)]
+#[case::more(79, 3)]
+fn owners_that_restart_after_a_power_failure_open_what_is_certainly_free(
+    #[case] total: usize,
+    #[case] owners: usize,
+) {
+    let mut hosts = hosts(&vec![3.0; owners]);
+    hosts.push(standby(&hosts));
+    let count = hosts.len();
+    let owning = hosts.iter().take(owners);
+    let held: usize = owning.map(|h| share(total, &hosts, &h.host)).sum();
+    let room = total - held - owners * borrowable(total, count);
+    let wanted = owners * settling(total, count);
+    assert!(wanted <= room.max(owners), "{wanted} of {room}");
+    insta::assert_snapshot!(
+        format!("settling_{total}"),
+        format!("{owners} owners open {wanted} of {room} free connections")
+    );
+}
+
+#[rstest]
+#[case::cascade(16, 6)]
+#[case::verband(32, 8)]
+fn hosts_that_share_few_connections_open_one_after_a_power_failure(
+    #[case] total: usize,
+    #[case] hosts: usize,
+) {
+    assert_eq!(settling(total, hosts), 1);
+}
+
 #[test]
 fn a_host_that_is_not_listed_holds_one_connection() {
     assert_eq!(share(16, &hosts(&[1.0, 1.0]), "stranger"), 1);
--- a/crates/decide/tests/urgency.rs
+++ b/crates/decide/tests/urgency.rs
@@ -1,9 +1,9 @@
-//! Plays load peaks with requests of different urgency, of several workspaces, and at an endpoint that
-//! slows down early. Each is compared with the same load without the difference.
+//! Plays load peaks with requests of different urgency, of several workspaces, with more requests than can
+//! be served in time, and at an endpoint that slows down early. Each is compared with the same load without the difference.
 
 mod fenced_group;
 
-use fenced_group::peak::{Endpoint, Stream, first_come, play};
+use fenced_group::peak::{Endpoint, Stream, first_come, percentile, play};
 
 const PLAIN: Endpoint = Endpoint {
     slots: 2,
@@ -73,6 +73,31 @@
     insta::assert_snapshot!(summary);
 }
 
+/// Three times what two slots run, of equal requests.
+const FLOOD: [Stream; 1] = [Stream::new("flood", 75, 12)];
+
+/// The same, of a workspace, whose requests are refused at their arrival.
+const FLOOD_OF_WORKSPACE: [Stream; 1] = [FLOOD[0].of("flood")];
+
+#[test]
+fn requests_that_cant_be_served_in_time_are_refused_at_once() {
+    let ours = play(&FLOOD_OF_WORKSPACE, PLAIN);
+    let held = play(&FLOOD, PLAIN);
+    let refused: Vec<u64> = ours.refused.values().flatten().copied().collect();
+    let summary = format!(
+        "held to the end\n{}\nrefused at once\n{}refused after p50 {} ms, p90 {} ms; return after p10 {} ms, p90 {} ms",
+        held.summary(&FLOOD),
+        ours.summary(&FLOOD),
+        percentile(&refused, 50),
+        percentile(&refused, 90),
+        percentile(&ours.returns, 10),
+        percentile(&ours.returns, 90),
+    );
+    assert!(ours.served() * 100 >= held.served() * 99, "{summary}");
+    assert!(ours.held(100) * 3 < held.held(100), "{summary}");
+    insta::assert_snapshot!(summary);
+}
+
 /// Two streams that need 1.3 times what an endpoint of four slots runs.
 const PRESSED: [Stream; 2] = [
     Stream::new("short", 30, 20).urgent(1),
--- a/crates/fenced/src/decision_log.rs
+++ b/crates/fenced/src/decision_log.rs
@@ -97,6 +97,7 @@
         };
         let (statement, head) = (&request.statement, &request.statement.head);
         let (waiting, running) = group.load();
+        let estimate = group.last_estimate().filter(|e| e.request == head.id);
         info!("request refused: {}", refusal, kv: {
             request = statement.label.as_str(),
             service = group.config().name.as_str(),
@@ -113,6 +114,9 @@
             running = running,
             share = group.config().share,
             tries = request.attempts().as_str(),
+            needed_ms = milliseconds(estimate.map(|e| e.needed)),
+            left_ms = milliseconds(estimate.map(|e| e.left)),
+            measured_ms = milliseconds(estimate.map(|e| now.since(e.since))),
             dropped = dropped,
         });
     }
