--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -9,8 +9,11 @@
 mod closing;
 mod dispatch;
 mod events;
+mod hopeless;
+mod limits;
 mod members;
 mod membership;
+mod order;
 mod pausing;
 mod requests;
 mod samples;
@@ -28,11 +31,13 @@
 
 pub use self::{
     events::{Action, Actions, Assignment, Event, Eviction, MemberInfo},
+    hopeless::Estimate,
     members::Member,
     succession::LEASE_USE,
 };
 use self::{
-    members::ConnectionState, requests::ABANDONED_LIMIT, samples::Samples, succession::Succession,
+    hopeless::ServiceRate, members::ConnectionState, requests::ABANDONED_LIMIT, samples::Samples,
+    succession::Succession,
 };
 use crate::retry::RetryBudget;
 
@@ -72,9 +77,12 @@
     pub share: usize,
     /// How long a leader that is shutting down still receives writes.
     pub drain: Duration,
-    /// Until then this host opens one connection to each endpoint. After a power failure an endpoint
+    /// Until then this host opens few connections to each endpoint. After a power failure an endpoint
     /// still counts the lost connections of all hosts, and what is left must do for all.
     pub settled_at: Timestamp,
+    /// Whether the endpoints slow down long before they are full, so that each gets no more statements
+    /// at once than it takes well.
+    pub limited: bool,
 }
 
 /// A request that waits for a connection, a leader or a sufficiently fresh endpoint.
@@ -93,6 +101,8 @@
     avoid: SmallVec<[EndpointIx; 2]>,
     /// Why the request has not run yet.
     reason: NotRun,
+    /// Whether an endpoint's limit of concurrent statements has made it wait.
+    held_back: bool,
 }
 
 /// A request that was sent to an endpoint and has no answer yet.
@@ -121,12 +131,20 @@
     pub busy: u64,
     /// Requests refused as not run.
     pub refused: u64,
+    /// Those of them that were refused at their arrival.
+    pub refused_early: u64,
     /// Requests whose outcome is unknown.
     pub unknown: u64,
     /// Connections opened.
     pub opened: u64,
     /// Idle connections closed in favour of another workspace.
     pub evicted: u64,
+    /// Times that an endpoint's limit of concurrent statements was lowered.
+    pub limits_lowered: u64,
+    /// Times that an endpoint's limit of concurrent statements was raised.
+    pub limits_raised: u64,
+    /// Requests that waited because of such a limit.
+    pub held_back: u64,
     /// Connections that an endpoint rejected because it was at its connection limit.
     pub full: u64,
     /// Connections lost.
@@ -170,6 +188,8 @@
     succession: Succession,
     /// Connections to an endpoint that may be opened beyond the share.
     borrowable: usize,
+    /// Connections that may be opened to each endpoint until `settled_at`.
+    settling: usize,
     /// Whether a leader that is shutting down is replaced even without requests.
     replaces_leaving: bool,
     /// Replicas that have received a commit before it is acknowledged.
@@ -177,6 +197,9 @@
     budget: RetryBudget,
     /// Moving average of the time that a database's statements take at an endpoint.
     costs: BTreeMap<Name, Duration>,
+    /// The rates of service of requests that only the leader may run, and of the others.
+    rates: [ServiceRate; 2],
+    last_estimate: Option<Estimate>,
     counts: Counts,
     next_connection: u64,
     next_member: u16,
@@ -205,10 +228,13 @@
             running: BTreeMap::new(),
             succession: Succession::default(),
             borrowable: 0,
+            settling: 1,
             replaces_leaving: true,
             sync_replicas: 0,
             budget: RetryBudget::new(),
             costs: BTreeMap::new(),
+            rates: <[ServiceRate; 2]>::default(),
+            last_estimate: None,
             counts: Counts::default(),
             next_connection: 0,
             next_member: 0,
@@ -241,6 +267,7 @@
         self.advance_succession(now, &mut out);
         self.resume_replicas(now, &mut out);
         self.dispatch_waiting(now, &mut out);
+        self.record_queues(now);
         self.probe_leader(now, &mut out);
         self.close_idle(now, &mut out);
         self.close_abandoned(now, &mut out);
@@ -342,6 +369,7 @@
     fn assign(&mut self, assignment: Assignment) {
         self.config.share = assignment.connections;
         self.borrowable = assignment.borrowable;
+        self.settling = assignment.settling;
         self.replaces_leaving = assignment.replaces_leaving;
         self.sync_replicas = assignment.sync_replicas;
     }
@@ -349,7 +377,7 @@
     /// Returns the number of connections that this host may open to an endpoint.
     fn share_at(&self, now: Timestamp) -> usize {
         let limit = if now < self.config.settled_at {
-            1
+            self.settling
         } else {
             usize::MAX
         };
