--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// The id of the host's process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends the host a signal to stop gracefully.
     pub fn terminate(&mut self) {
         let id = self.child.id().to_string();
--- a/tests/common/platform.rs
+++ b/tests/common/platform.rs
@@ -143,6 +143,17 @@
 impl HostProcess {
     /// Starts a host of a site.
     pub fn start(site: &Site<'_>, number: usize, store: SocketAddr, grace_s: u64) -> Self {
+        Self::start_limited(site, number, store, grace_s, "")
+    }
+
+    /// Starts a host of a site, with further lines of limits in its settings.
+    pub fn start_limited(
+        site: &Site<'_>,
+        number: usize,
+        store: SocketAddr,
+        grace_s: u64,
+        limits: &str,
+    ) -> Self {
         let (ip, capacity) = site.hosts[number];
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("local.toml");
@@ -159,6 +170,7 @@
 Ready = "{ip}:8785"
 [Limits]
 CpuShare = {capacity:?}
+{limits}
 [Bounds]
 DrainMs = 7000
 GraceS = {grace_s}
