Keep what clients make a host hold within its memory and descriptors

Cause: read buffers, statements, answers, values and connections of clients had no limit a host. Change: decide::budget grants bytes before they are read and decides who is closed; stream::budget owns it on the host's thread, with an account for each connection. Settings `memory_mb` and `descriptors` for `serve`; without settings there is no limit.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! and returns a short list of actions for a task to carry out.
 
 pub mod admission;
+pub mod budget;
 pub mod configuration;
 pub mod fence;
 pub mod fenced;
--- a/crates/decide/src/session_state/mod.rs
+++ b/crates/decide/src/session_state/mod.rs
@@ -89,6 +89,9 @@
     writes: bool,
 }
 
+/// The bytes that each value and prepared statement takes besides its name and text.
+const KEPT_OVERHEAD: usize = 64;
+
 /// The state of a client's session.
 #[derive(Debug, Clone)]
 pub struct SessionState {
@@ -246,6 +249,20 @@
         self.floor
     }
 
+    /// Returns the bytes of the session's values and prepared statements.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        let values = self
+            .values
+            .iter()
+            .map(|(name, text)| name.len() + text.len());
+        let prepared = self.prepared.iter().map(|p| p.name.len() + p.text.len());
+        values
+            .chain(prepared)
+            .map(|bytes| bytes + KEPT_OVERHEAD)
+            .sum()
+    }
+
     /// Returns the transaction state that the client sees.
     #[must_use]
     pub fn state(&self) -> TxState {
--- a/crates/frontend/src/accept.rs
+++ b/crates/frontend/src/accept.rs
@@ -5,7 +5,7 @@
 use compio::net::{TcpListener, TcpStream};
 use flume::{Receiver, Sender};
 use futures_util::{FutureExt, pin_mut, select_biased};
-use goldcrest_stream::accept::Sockets;
+use goldcrest_stream::{accept::Sockets, budget::HostBudget};
 use rand::Rng;
 use spdlog::debug;
 
@@ -33,6 +33,7 @@
 /// The state of the accepting task.
 struct Acceptor {
     config: FrontendConfig,
+    budget: HostBudget,
     /// The interrupt channels of the open sessions.
     sessions: HashMap<CancelKey, Sender<Interrupt>>,
     events: Sender<Event>,
@@ -48,11 +49,13 @@
 pub(crate) async fn run(
     listener: TcpListener,
     config: FrontendConfig,
+    budget: HostBudget,
     commands: Receiver<FrontendCommand>,
 ) {
     let (events, event_receiver) = flume::unbounded();
     let mut acceptor = Acceptor {
         config,
+        budget,
         sessions: HashMap::new(),
         events,
         last_number: 0,
@@ -92,8 +95,9 @@
     fn start_client(&self, socket: TcpStream) {
         let config = self.config.clone();
         let events = self.events.clone();
+        let account = self.budget.admit();
         compio::runtime::spawn(async move {
-            match startup::run(socket, &config).await {
+            match startup::run(socket, &config, account).await {
                 Ok(started) => {
                     // The accepting task runs as long as the host.
                     let _ = events.send(Event::Started(started));
@@ -129,6 +133,9 @@
             .detach();
             return;
         }
+        if let Some(account) = client.stream.account() {
+            account.started();
+        }
         let key = self.new_key();
         let (interrupts, receiver) = flume::unbounded();
         self.sessions.insert(key, interrupts);
--- a/crates/frontend/src/batch.rs
+++ b/crates/frontend/src/batch.rs
@@ -16,6 +16,9 @@
 /// The target type of `Describe` and `Close` messages that name a statement, not a portal.
 const TARGET_STATEMENT: u8 = b'S';
 
+/// The bytes that each prepared statement and portal takes besides its texts.
+const KEPT_OVERHEAD: usize = 128;
+
 /// A prepared statement of a session. It is held in the proxy and not on a connection to an
 /// endpoint.
 #[derive(Debug, Clone)]
@@ -56,6 +59,14 @@
         Ok(())
     }
 
+    /// Returns the bytes of the statements' texts, which are also held in parsed form.
+    pub(crate) fn bytes(&self) -> usize {
+        let texts = self.by_name.iter();
+        texts
+            .map(|(name, p)| name.len() + p.sql.len() + 4 * p.type_oids.len() + KEPT_OVERHEAD)
+            .sum()
+    }
+
     /// Removes closed statements.
     pub(crate) fn close(&mut self, names: &[String]) {
         for name in names {
@@ -136,6 +147,19 @@
         }
     }
 
+    /// Returns the bytes of the messages since the last `Sync`.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the bytes of the portals' statements.
+    pub(crate) fn portal_bytes(&self) -> usize {
+        let portals = self.portals.iter();
+        portals
+            .map(|(name, (_, sql))| name.len() + sql.len() + KEPT_OVERHEAD)
+            .sum()
+    }
+
     /// Whether messages were added since the last `Sync`.
     pub(crate) fn is_pending(&self) -> bool {
         !self.messages.is_empty() || self.error.is_some()
--- a/crates/frontend/src/error.rs
+++ b/crates/frontend/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors that are reported to clients.
 
 use goldcrest_decide::session::ChangeError;
+use goldcrest_stream::budget::is_overloaded;
 use goldcrest_wire::WireError;
 use thiserror::Error;
 
@@ -25,6 +26,12 @@
     /// The host has its largest number of sessions.
     #[error("the host has its {0} sessions already")]
     TooManySessions(usize),
+    /// The host has no room for the connection.
+    #[error("the host has no room for this connection")]
+    Overloaded,
+    /// The session's prepared statements, portals and settings take more than the host has room for.
+    #[error("the host has no room for the statements and settings of this session")]
+    NoRoom,
     /// The host has not yet learnt which configuration is in force.
     #[error("the host is starting")]
     Starting,
@@ -49,6 +56,15 @@
 }
 
 impl ClientError {
+    /// Returns the error to report where the host closes a connection to keep within its limits.
+    #[must_use]
+    pub(crate) fn or_overloaded(self) -> Self {
+        match self {
+            Self::Wire(WireError::Io(error)) if is_overloaded(&error) => Self::Overloaded,
+            other => other,
+        }
+    }
+
     /// The error's SQLSTATE.
     #[must_use]
     pub fn code(&self) -> &'static str {
@@ -63,6 +79,8 @@
             Self::Forbidden(..) => "42501",
             Self::NoDatabase(_) => "3D000",
             Self::TooManySessions(_) => "53300",
+            Self::Overloaded => "53300",
+            Self::NoRoom => "53200",
             Self::Starting => "57P03",
             Self::Stopping => "57P01",
             Self::Unsupported(_) => "0A000",
@@ -82,6 +100,8 @@
                 | Self::Forbidden(..)
                 | Self::NoDatabase(_)
                 | Self::TooManySessions(_)
+                | Self::Overloaded
+                | Self::NoRoom
                 | Self::Starting
                 | Self::Stopping
                 | Self::IdleTransaction
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -20,6 +20,7 @@
 use compio::net::TcpListener;
 use flume::Sender;
 use goldcrest_decide::session::Limits;
+use goldcrest_stream::budget::HostBudget;
 use goldcrest_types::{SessionCommand, Timestamp};
 
 pub use crate::{
@@ -107,9 +108,11 @@
 }
 
 /// Starts the front end on this thread's runtime.
+///
+/// What clients make the host hold is counted in `budget`.
 #[must_use]
-pub fn start(listener: TcpListener, config: FrontendConfig) -> FrontendHandle {
+pub fn start(listener: TcpListener, config: FrontendConfig, budget: HostBudget) -> FrontendHandle {
     let (commands, receiver) = flume::unbounded();
-    compio::runtime::spawn(accept::run(listener, config, receiver)).detach();
+    compio::runtime::spawn(accept::run(listener, config, budget, receiver)).detach();
     FrontendHandle { commands }
 }
--- a/crates/frontend/src/refusals.rs
+++ b/crates/frontend/src/refusals.rs
@@ -26,6 +26,7 @@
     match reason {
         NotRun::NoPrimary | NotRun::Unreachable | NotRun::Behind => "57P03",
         NotRun::Late | NotRun::Allowance => "53300",
+        NotRun::Memory => "53200",
         NotRun::Cancelled => "57014",
         NotRun::Stopping => "57P01",
     }
--- a/crates/frontend/src/session.rs
+++ b/crates/frontend/src/session.rs
@@ -105,7 +105,11 @@
     };
     if let Err(error) = task.serve(client.options, key).await {
         debug!("session {} ended: {}", number, error);
-        if error.is_fatal() {
+        let error = error.or_overloaded();
+        if matches!(error, ClientError::Overloaded) {
+            // It is not held open for the client to read why.
+            startup::send_error(&mut task.stream, &error).await;
+        } else if error.is_fatal() {
             startup::send_error(&mut task.stream, &error).await;
             // Closing a socket with unread input resets it, and the client, which may be sending
             // its next request, would lose the error message.
@@ -133,6 +137,8 @@
         self.send_startup_reply(key).await?;
         while let Some(frame) = self.next_frame().await? {
             let more = self.handle_message(&frame).await?;
+            drop(frame);
+            self.count_held()?;
             if !more {
                 return Ok(());
             }
@@ -140,6 +146,18 @@
         Err(ClientError::Stopping)
     }
 
+    /// Counts what the session holds between its messages.
+    fn count_held(&mut self) -> Result<(), ClientError> {
+        self.stream.set_pending(self.batch.bytes());
+        let settings = self.state.settings.iter();
+        let settings: usize = settings.map(|(name, sql)| name.len() + sql.len()).sum();
+        let kept = settings + self.statements.bytes() + self.batch.portal_bytes();
+        match self.stream.account() {
+            Some(account) if !account.keep(kept) => Err(ClientError::NoRoom),
+            _ => Ok(()),
+        }
+    }
+
     /// Applies a setting from the start-up options. A setting of the proxy takes effect here; any
     /// other is recorded for the connections to endpoints.
     fn apply_option(&mut self, name: &str, value: &str) -> Result<(), ClientError> {
--- a/crates/frontend/src/startup.rs
+++ b/crates/frontend/src/startup.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 use compio::{net::TcpStream, time::timeout};
+use goldcrest_stream::budget::Account;
 use goldcrest_types::Name;
 use goldcrest_wire::{PgStream, WireError, decode_untrusted, encode_backend};
 use pgwire::messages::{
@@ -19,6 +20,12 @@
 /// How long a client may take to complete its start-up.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The largest start-up message in bytes. PostgreSQL takes 10,000.
+const STARTUP_BYTES: usize = 64 << 10;
+
+/// How long the error that ends a connection may take to be sent. A client that reads gets it at once.
+const ERROR_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The flag that precedes a setting in the start-up options.
 const OPTION_FLAG: &str = "-c";
 
@@ -45,8 +52,14 @@
 pub(crate) async fn run(
     socket: TcpStream,
     config: &FrontendConfig,
+    account: Option<Account>,
 ) -> Result<Started, ClientError> {
     let mut stream = PgStream::new(socket, config.limits.message_bytes)?;
+    let Some(account) = account else {
+        send_error(&mut stream, &ClientError::Overloaded).await;
+        return Err(ClientError::Overloaded);
+    };
+    stream = stream.with_account(account);
     let request = timeout(STARTUP_TIMEOUT, exchange(&mut stream, config)).await;
     let result = request.unwrap_or(Err(ClientError::Protocol("start-up took too long")));
     match result {
@@ -62,6 +75,7 @@
             options,
         }))),
         Err(error) => {
+            let error = error.or_overloaded();
             send_error(&mut stream, &error).await;
             Err(error)
         }
@@ -70,9 +84,10 @@
 
 /// Sends the error that ends a connection to its client.
 pub(crate) async fn send_error(stream: &mut PgStream, error: &ClientError) {
+    stream.close_account();
     if let Ok(bytes) = encode_backend([refusals::error_message(error)]) {
-        // The client may have disconnected.
-        let _ = stream.send(bytes).await;
+        // The client may have disconnected or read nothing.
+        let _ = timeout(ERROR_TIMEOUT, stream.send(bytes)).await;
     }
 }
 
@@ -128,6 +143,10 @@
         if let Some(message) = message {
             return Ok(message);
         }
+        if stream.buffer().len() > STARTUP_BYTES {
+            return Err(ClientError::Protocol("a shorter start-up message"));
+        }
+        stream.ready().await?;
         stream.fill().await?;
     }
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -18,6 +18,7 @@
 use goldcrest_peers::PeerConnections;
 use goldcrest_platform_client::Client;
 use goldcrest_settings::{Database, Service, Settings};
+use goldcrest_stream::budget::HostBudget;
 use goldcrest_types::{EndpointIx, Name};
 use spdlog::info;
 use xxhash_rust::xxh3::xxh3_64;
@@ -92,8 +93,10 @@
         .await
         .map_err(|source| HostError::Listen { address, source })?;
     let groups = start_groups(&settings, clock, &platform);
-    let frontend =
-        goldcrest_frontend::start(client_listener, frontend_config(&settings, &groups, clock));
+    let limits = &settings.limits;
+    let budget = HostBudget::start(clock, limits.memory(), limits.descriptors());
+    let config = frontend_config(&settings, &groups, clock);
+    let frontend = goldcrest_frontend::start(client_listener, config, budget);
     let (outcomes, outcome_rx) = flume::unbounded();
     let (commands, command_rx) = flume::unbounded();
     let name = settings.host.name.clone();
--- a/crates/peers/src/relay/server.rs
+++ b/crates/peers/src/relay/server.rs
@@ -16,6 +16,7 @@
 use goldcrest_decide::session::RequestIds;
 use goldcrest_stream::{
     accept::{self, Shutdown},
+    budget::{Account, HostBudget},
     enable_keepalive,
 };
 use goldcrest_types::{
@@ -65,6 +66,8 @@
     pub run_succession: Rc<RunSuccession>,
     /// Looks up the publisher of a table.
     pub find_table: Rc<FindTable>,
+    /// What clients make the host hold, also those of other hosts.
+    pub budget: HostBudget,
 }
 
 /// Listens for other hosts.
@@ -194,6 +197,8 @@
     lease: Option<Lease>,
     /// The channel for its reply.
     reply: Sender<Reply>,
+    /// The bytes of its text, which are given back with its reply.
+    _account: Account,
 }
 
 /// The statements and transactions that one connection of another host has in progress here.
@@ -285,12 +290,19 @@
             let _ = reply.send(not_run(reason));
             return;
         }
+        let account = self.handlers.budget.attach();
+        if !account.try_reserve(statement.text.len()) {
+            // The other host may have disconnected.
+            let _ = reply.send(not_run(NotRun::Memory));
+            return;
+        }
         let id = self.request_ids.take();
         let statement = statement.decode(id, self.clock.now());
         let pending = PendingStatement {
             service,
             lease: statement.head.pin.map(|pin| pin.lease),
             reply,
+            _account: account,
         };
         self.pending.insert(id, pending);
         let command = SessionCommand::Run(statement.into(), self.replies.0.clone());
--- a/crates/peers/tests/relays.rs
+++ b/crates/peers/tests/relays.rs
@@ -11,7 +11,7 @@
     relay::{Link, RelayHandlers, start, start_links},
 };
 use goldcrest_standins::proxy::{self, MessageFault, frame_end};
-use goldcrest_stream::accept::ListenerHandle;
+use goldcrest_stream::{accept::ListenerHandle, budget::HostBudget};
 use goldcrest_types::{
     Answer, Class, EndpointIx, Floor, Kind, Lease, Mark, Name, Outcome, Pin, RelayCommand,
     RelayNotice, Reply, RequestHead, RequestId, Role, SessionCommand, Statement, StoreError,
@@ -65,6 +65,7 @@
                 let _ = reply.send(command.unknown_outcome());
             }),
             find_table: Rc::new(|_| None),
+            budget: HostBudget::start(clock, None, None),
         };
         let handle = start(address, clock, handlers).await.unwrap();
         let links = start_links(clock);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -86,12 +86,19 @@
     }
 }
 
+/// Bytes in the settings' unit of memory.
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// Limits on what clients can use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// The largest number of client sessions on this host.
     pub sessions: usize,
+    /// Memory that the process may use, in megabytes of a million bytes. Zero stands for no limit.
+    pub memory_mb: u64,
+    /// Descriptors that the process may open. Zero stands for no limit.
+    pub descriptors: u64,
     /// The largest message of a client, in bytes.
     pub message_bytes: usize,
     /// The largest answer of an endpoint, in bytes.
@@ -114,6 +121,8 @@
     fn default() -> Self {
         Self {
             sessions: 8000,
+            memory_mb: 0,
+            descriptors: 0,
             message_bytes: 1 << 20,
             answer_bytes: 8 << 20,
             prepared: 256,
@@ -139,6 +148,19 @@
 }
 
 impl Limits {
+    /// Memory that the process may use in bytes, if it is limited.
+    #[must_use]
+    pub fn memory(&self) -> Option<u64> {
+        let bytes = self.memory_mb.saturating_mul(BYTES_PER_MEGABYTE);
+        (bytes > 0).then_some(bytes)
+    }
+
+    /// Descriptors that the process may open, if they are limited.
+    #[must_use]
+    pub fn descriptors(&self) -> Option<u64> {
+        (self.descriptors > 0).then_some(self.descriptors)
+    }
+
     /// The longest time that a request waits before it is sent to an endpoint.
     #[must_use]
     pub const fn start(&self) -> Duration {
--- a/crates/stream/src/accept.rs
+++ b/crates/stream/src/accept.rs
@@ -28,6 +28,9 @@
     Finish(Instant),
 }
 
+/// Connections that are accepted before the task of their listener takes them.
+const ACCEPTED_AHEAD: usize = 16;
+
 /// A command to a listener's task.
 #[derive(Debug)]
 enum Command {
@@ -229,7 +232,7 @@
     /// Accepts the connections of `listener` on this thread's runtime.
     #[must_use]
     pub fn of(listener: TcpListener) -> Self {
-        let (sockets, accepted) = flume::unbounded();
+        let (sockets, accepted) = flume::bounded(ACCEPTED_AHEAD);
         let task = compio::runtime::spawn(accept_all(listener, sockets));
         Self {
             accepted,
@@ -251,7 +254,7 @@
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                if accepted.send(socket).is_err() {
+                if accepted.send_async(socket).await.is_err() {
                     return;
                 }
             }
--- a/crates/types/src/answer.rs
+++ b/crates/types/src/answer.rs
@@ -73,6 +73,9 @@
     /// The workspace has used up its allowance.
     #[error("the workspace has used up its allowance")]
     Allowance,
+    /// The host has no memory left for the statement.
+    #[error("the host has no memory left for the statement")]
+    Memory,
 }
 
 /// Why a client gets no answer from an endpoint.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use compio::net::TcpStream;
-use goldcrest_stream::Stream;
+use goldcrest_stream::{Stream, budget::Account};
 use pgwire::error::PgWireError;
 use thiserror::Error;
 
@@ -52,6 +52,8 @@
     stream: Stream,
     /// The largest message, in bytes.
     limit: usize,
+    /// Bytes of the messages that wait for the rest of their batch.
+    pending: usize,
 }
 
 impl PgStream {
@@ -62,7 +64,35 @@
     /// [`WireError::Io`] when the socket refuses its options.
     pub fn new(socket: TcpStream, limit: usize) -> Result<Self, WireError> {
         let stream = Stream::new(socket)?;
-        Ok(Self { stream, limit })
+        let pending = 0;
+        Ok(Self {
+            stream,
+            limit,
+            pending,
+        })
+    }
+
+    /// Counts what the peer makes this host hold.
+    #[must_use]
+    pub fn with_account(mut self, account: Account) -> Self {
+        self.stream = self.stream.with_account(account);
+        self
+    }
+
+    /// What the peer makes this host hold, if that is counted.
+    #[must_use]
+    pub fn account(&self) -> Option<&Account> {
+        self.stream.account()
+    }
+
+    /// Gives back all that the peer makes this host hold, before the connection is closed.
+    pub fn close_account(&mut self) {
+        self.stream.close_account();
+    }
+
+    /// Counts `bytes` of messages that wait for the rest of their batch.
+    pub fn set_pending(&mut self, bytes: usize) {
+        self.pending = bytes;
     }
 
     /// Waits until the socket is readable. Dropping the future loses no data.
@@ -98,6 +128,7 @@
     ///
     /// [`WireError::TooLarge`] when its length is over the limit or shorter than a header.
     pub fn try_next(&mut self) -> Result<Option<Frame>, WireError> {
+        self.stream.finish_message(self.pending);
         let Some(size) = self.next_size()? else {
             return Ok(None);
         };
@@ -106,6 +137,7 @@
             return Ok(None);
         }
         let bytes = buffer.split_to(size).freeze();
+        self.stream.run_message();
         self.stream.release_buffer();
         Ok(Some(Frame::new(bytes)))
     }
@@ -120,6 +152,7 @@
             if let Some(frame) = self.try_next()? {
                 return Ok(frame);
             }
+            self.ready().await?;
             self.fill().await?;
         }
     }
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -341,7 +341,10 @@
 fn a_crowd_at_a_postgresql_host_stays_within_its_limits(#[case] crowded: Crowded) {
     let _alone = alone();
     let fleet = fleet(1);
-    let host = ServeProcess::start(&fleet, 1);
+    let mut settings = goldcrest_demo::host_settings(&fleet.settings, 1);
+    settings.limits.memory_mb = MEMORY_MB;
+    settings.limits.descriptors = MAX_FDS as u64;
+    let host = ServeProcess::start_with(settings);
     let frontend = host.settings.host.callers;
     let end = Instant::now() + TRY_LIMIT;
     while !ask_sql(frontend) {
