--- a/crates/fenced/src/directory.rs
+++ b/crates/fenced/src/directory.rs
@@ -220,6 +220,13 @@
         workspaces.is_some_and(|w| w.allowance(workspace).is_some())
     }
 
+    /// Returns the allowances in force by workspace.
+    #[must_use]
+    pub fn allowances(&self) -> BTreeMap<Name, Allowance> {
+        let workspaces = self.configuration.workspaces.as_ref();
+        workspaces.map_or_else(BTreeMap::new, |w| w.allowances().clone())
+    }
+
     /// Returns the handles of the groups.
     pub fn groups(&self) -> impl Iterator<Item = &Handle> {
         self.groups.values().map(|service| &service.handle)
--- a/tests/common/platform.rs
+++ b/tests/common/platform.rs
@@ -134,14 +134,26 @@
 }
 
 /// Where the output of a host goes.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub enum Output<'a> {
     /// Nowhere.
+    #[default]
     Dropped,
     /// Into this file, with log lines of all levels.
     AllTo(&'a Path),
 }
 
+/// What differs in the settings and the output of a host.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HostOptions<'a> {
+    /// The first lines of its settings.
+    pub first: &'a str,
+    /// Further limits in its settings.
+    pub limits: &'a str,
+    /// Where its output goes.
+    pub output: Output<'a>,
+}
+
 /// The process of a host.
 pub struct HostProcess {
     /// The process.
@@ -154,23 +166,27 @@
 impl HostProcess {
     /// Starts a host of a site.
     pub fn start(site: &Site<'_>, number: usize, store: SocketAddr, grace_s: u64) -> Self {
-        Self::start_with(site, number, store, grace_s, "", Output::Dropped)
+        Self::start_with(site, number, store, grace_s, HostOptions::default())
     }
 
-    /// The same with the first lines of its settings and a log.
+    /// The same with options.
     pub fn start_with(
         site: &Site<'_>,
         number: usize,
         store: SocketAddr,
         grace_s: u64,
-        first_settings: &str,
-        output: Output<'_>,
+        options: HostOptions<'_>,
     ) -> Self {
+        let HostOptions {
+            first,
+            limits,
+            output,
+        } = options;
         let (ip, capacity) = site.hosts[number];
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("local.toml");
         let settings = format!(
-            r#"{first_settings}
+            r#"{first}
 NodeName = "{name}"
 Ip = "{ip}"
 Zone = "a-1"
@@ -183,6 +199,7 @@
 Ready = "{ip}:8785"
 [Limits]
 CpuShare = {capacity:?}
+{limits}
 [Bounds]
 DrainMs = 7000
 GraceS = {grace_s}
--- a/tests/secrets.rs
+++ b/tests/secrets.rs
@@ -14,7 +14,7 @@
 
 use common::{
     line_client::{LineClient, as_text},
-    platform::{HostProcess, Output, Site, Standins, host_name, host_row},
+    platform::{HostOptions, HostProcess, Output, Site, Standins, host_name, host_row},
 };
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -143,7 +143,12 @@
     let contracts = r#"Contracts = ["base","tenants","quota"]"#;
     let hosts = logs.iter().enumerate().map(|(number, log)| {
         let store = standins.stores[number];
-        HostProcess::start_with(&site, number, store, 3, contracts, Output::AllTo(log))
+        let options = HostOptions {
+            first: contracts,
+            output: Output::AllTo(log),
+            ..HostOptions::default()
+        };
+        HostProcess::start_with(&site, number, store, 3, options)
     });
     Fleet {
         hosts: hosts.collect(),
