--- a/crates/decide/src/budget/mod.rs
+++ b/crates/decide/src/budget/mod.rs
@@ -5,6 +5,7 @@
 //! to wait, the client that has been sending a message or taking an answer for longest is closed, since
 //! it holds much and is slow. Statements that run are left alone: they end by their deadlines.
 
+mod model;
 mod pools;
 
 use std::{
@@ -15,8 +16,14 @@
 use goldcrest_types::Timestamp;
 use smallvec::SmallVec;
 
-pub use self::pools::{BASE_BYTES, Pool};
-use self::pools::{Charge, Pools, charge};
+pub use self::{
+    model::{Decision, Decisions, HolderId, Reason, Use},
+    pools::{BASE_BYTES, Pool},
+};
+use self::{
+    model::{Holder, Phase},
+    pools::{Charge, Pools, charge, covers},
+};
 
 /// How long a request for a grant waits before the slowest client makes room for it.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -38,96 +45,6 @@
 /// hosts, the store and the pages.
 const CLIENT_TENTHS: u64 = 8;
 
-/// A connection of a client, or to an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct HolderId(pub u64);
-
-/// What bytes are held for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Use {
-    /// A message of a client: its read buffer and its statement.
-    Message,
-    /// An answer.
-    Answer,
-    /// Values and prepared statements of a session.
-    Kept,
-}
-
-/// What a connection does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// It waits for a message.
-    Idle,
-    /// Its message runs.
-    Running,
-    /// The client sends a message since this time.
-    Receiving(Timestamp),
-    /// The client takes an answer since this time.
-    Sending(Timestamp),
-}
-
-/// Why a connection is closed or not accepted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reason {
-    /// The host has all connections of clients that it takes.
-    Connections,
-    /// It had not started a session when another client needed the connection.
-    NotStarted,
-    /// It was slow when another client needed its memory.
-    Slow,
-    /// There was no memory for its message in time.
-    NoMemory,
-    /// Its message took too long.
-    MessageTime,
-}
-
-impl Reason {
-    /// All reasons.
-    pub const ALL: [Self; 5] = [
-        Self::Connections,
-        Self::NotStarted,
-        Self::Slow,
-        Self::NoMemory,
-        Self::MessageTime,
-    ];
-
-    /// The reason's label in logs and metrics.
-    #[must_use]
-    pub const fn label(self) -> &'static str {
-        match self {
-            Self::Connections => "connections",
-            Self::NotStarted => "not_started",
-            Self::Slow => "slow",
-            Self::NoMemory => "no_memory",
-            Self::MessageTime => "message_time",
-        }
-    }
-}
-
-/// A decision for the task of a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// Its request is granted.
-    Grant(HolderId),
-    /// It is closed.
-    Close(HolderId, Reason),
-}
-
-/// Decisions of one step.
-pub type Decisions = SmallVec<[Decision; 2]>;
-
-#[derive(Debug)]
-struct Holder {
-    /// Whether it counts as a client's connection.
-    is_client: bool,
-    started: bool,
-    phase: Phase,
-    message: Option<Charge>,
-    answer: Option<Charge>,
-    kept: Option<Charge>,
-    closed: bool,
-}
-
 #[derive(Debug)]
 struct Waiting {
     id: HolderId,
@@ -193,16 +110,7 @@
     fn add(&mut self, is_client: bool) -> HolderId {
         let id = HolderId(self.next);
         self.next += 1;
-        let holder = Holder {
-            is_client,
-            started: false,
-            phase: Phase::Idle,
-            message: None,
-            answer: None,
-            kept: None,
-            closed: false,
-        };
-        self.holders.insert(id, holder);
+        self.holders.insert(id, Holder::new(is_client));
         id
     }
 
@@ -453,21 +361,3 @@
         out
     }
 }
-
-impl Holder {
-    fn slot(&mut self, purpose: Use) -> &mut Option<Charge> {
-        match purpose {
-            Use::Message => &mut self.message,
-            Use::Answer => &mut self.answer,
-            Use::Kept => &mut self.kept,
-        }
-    }
-}
-
-/// Whether a charge that is held covers another one.
-fn covers(held: Option<Charge>, charge: Charge) -> bool {
-    held.is_some_and(|held| {
-        let is_larger = held.pool == Pool::Large && charge.pool == Pool::Medium;
-        is_larger || held.pool == charge.pool && held.bytes >= charge.bytes
-    })
-}
--- a/crates/decide/src/budget/pools.rs
+++ b/crates/decide/src/budget/pools.rs
@@ -108,3 +108,11 @@
     };
     Some(Charge { pool, bytes })
 }
+
+/// Whether a charge that is held covers another one.
+pub(super) fn covers(held: Option<Charge>, charge: Charge) -> bool {
+    held.is_some_and(|held| {
+        let is_larger = held.pool == Pool::Large && charge.pool == Pool::Medium;
+        is_larger || held.pool == charge.pool && held.bytes >= charge.bytes
+    })
+}
--- a/crates/frontend/src/query.rs
+++ b/crates/frontend/src/query.rs
@@ -38,6 +38,18 @@
         Ok(true)
     }
 
+    /// Counts what the session holds between its messages.
+    pub(crate) fn count_held(&mut self) -> Result<(), ClientError> {
+        self.stream.set_pending(self.batch.bytes());
+        let settings = self.state.settings.iter();
+        let settings: usize = settings.map(|(name, sql)| name.len() + sql.len()).sum();
+        let kept = settings + self.statements.bytes() + self.batch.portal_bytes();
+        match self.stream.account() {
+            Some(account) if !account.keep(kept) => Err(ClientError::NoRoom),
+            _ => Ok(()),
+        }
+    }
+
     async fn handle_query(&mut self, frame: &Frame) -> Result<(), ClientError> {
         if self.batch.is_pending() {
             // Its answer would overtake that of the batch. The error is sent at the `Sync`.
--- a/crates/frontend/src/session.rs
+++ b/crates/frontend/src/session.rs
@@ -146,18 +146,6 @@
         Err(ClientError::Stopping)
     }
 
-    /// Counts what the session holds between its messages.
-    fn count_held(&mut self) -> Result<(), ClientError> {
-        self.stream.set_pending(self.batch.bytes());
-        let settings = self.state.settings.iter();
-        let settings: usize = settings.map(|(name, sql)| name.len() + sql.len()).sum();
-        let kept = settings + self.statements.bytes() + self.batch.portal_bytes();
-        match self.stream.account() {
-            Some(account) if !account.keep(kept) => Err(ClientError::NoRoom),
-            _ => Ok(()),
-        }
-    }
-
     /// Applies a setting from the start-up options. A setting of the proxy takes effect here; any
     /// other is recorded for the connections to endpoints.
     fn apply_option(&mut self, name: &str, value: &str) -> Result<(), ClientError> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -152,7 +152,10 @@
             if let Some(frame) = self.try_next()? {
                 return Ok(frame);
             }
-            self.ready().await?;
+            if self.stream.account().is_some() {
+                // The host may have to close the connection meanwhile.
+                self.ready().await?;
+            }
             self.fill().await?;
         }
     }
