Check a configuration before it is sent

Cause: an operator learns of an error in a configuration only from the hosts' logs, once it is in force.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fenced;
 pub mod fleet;
 pub mod group;
+pub mod inspection;
 pub mod matching;
 pub mod owners;
 pub mod pool;
--- a/crates/decide/src/owners/mod.rs
+++ b/crates/decide/src/owners/mod.rs
@@ -10,7 +10,7 @@
 
 /// Connections to an endpoint that each host needs if there are no owners: one for statements and,
 /// at every other host, one for an open transaction.
-const CONNECTIONS_PER_HOST: f64 = 1.5;
+pub(crate) const CONNECTIONS_PER_HOST: f64 = 1.5;
 
 /// Number of owners that a host knows in order of preference: the owner, its replacement, and a
 /// spare in case both fail at the same time.
--- a/src/options.rs
+++ b/src/options.rs
@@ -39,8 +39,8 @@
     /// Run one host on the users' platform.
     #[options(help = "run one host on the users' platform")]
     Platform(PlatformOptions),
-    /// Check a settings file.
-    #[options(help = "check a settings file")]
+    /// Check a settings file or a configuration.
+    #[options(help = "check a settings file, or a configuration before it is sent")]
     Check(CheckOptions),
     /// Show the status of a host.
     #[options(help = "show hosts, groups, terms, positions and the revision in force")]
@@ -106,8 +106,12 @@
     pub log: String,
 }
 
-/// Checks a settings file and reports all its errors.
+/// Checks a settings file or a configuration, and reports all its errors.
 #[derive(Debug, Options)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a flag of the command line"
+)]
 pub struct CheckOptions {
     /// Show help.
     #[options(help = "show this help")]
@@ -115,8 +119,31 @@
     /// Whether the file is one of the users' platform.
     #[options(no_short, help = "the file is one of the users' platform")]
     pub platform: bool,
-    /// The settings file.
-    #[options(free, required, help = "the settings file")]
+    /// Whether the file is a configuration of the users' platform.
+    #[options(
+        no_short,
+        help = "the file is a configuration for the users' platform, as its store holds it"
+    )]
+    pub platform_configuration: bool,
+    /// The configuration in force, to compare with.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "with --platform-configuration: the configuration in force, to compare with"
+    )]
+    pub against: Option<String>,
+    /// The number of hosts.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "with --platform-configuration: the number of hosts that share the endpoints' connections"
+    )]
+    pub hosts: Option<usize>,
+    /// Print JSON instead of text.
+    #[options(no_short, help = "with --platform-configuration: print JSON")]
+    pub json: bool,
+    /// The file.
+    #[options(free, required, help = "the file")]
     pub file: String,
 }
 
@@ -421,6 +448,11 @@
     }
 }
 
+/// A check that found something.
+#[derive(Debug, thiserror::Error)]
+#[error("the configuration has errors or warnings")]
+pub struct FindingsError;
+
 /// An invalid argument.
 #[derive(Debug, thiserror::Error)]
 #[error("{0}")]
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -32,6 +32,15 @@
 #[case::platform_in_order(&["check", "--platform", "platform/tests/data/local.toml"])]
 #[case::platform_no_file(&["check", "--platform", "nowhere.toml"])]
 #[case::platform_no_settings(&["platform"])]
+#[case::check_help(&["check", "--help"])]
+#[case::configuration_in_order(&["check", "platform/tests/data/configuration.json", "--platform-configuration"])]
+#[case::configuration_next(&["check", "platform/tests/data/configuration-next.json", "--platform-configuration", "--against", "platform/tests/data/configuration.json", "--hosts", "40"])]
+#[case::configuration_bad(&["check", "platform/tests/data/configuration-bad.json", "--platform-configuration"])]
+#[case::configuration_json(&["check", "platform/tests/data/configuration.json", "--platform-configuration", "--against", "platform/tests/data/configuration-next.json", "--json"])]
+#[case::configuration_no_file(&["check", "nowhere.json", "--platform-configuration"])]
+#[case::configuration_no_json(&["check", "platform/tests/data/local.toml", "--platform-configuration"])]
+#[case::against_settings(&["check", "platform/tests/data/local.toml", "--platform", "--against", "x"])]
+#[case::both_kinds(&["check", "x", "--platform", "--platform-configuration"])]
 fn output_and_exit_code(#[case] arguments: &[&str]) {
     let name = std::thread::current().name().unwrap_or_default().to_owned();
     let case = name.rsplit("::").next().unwrap_or_default().to_owned();
