--- a/crates/decide/src/fenced/order.rs
+++ b/crates/decide/src/fenced/order.rs
@@ -17,6 +17,10 @@
 /// A request is dispatched before one of the next class of urgency that arrived up to this much earlier.
 const URGENCY_STEP: Duration = Duration::from_millis(250);
 
+/// The most that a request is put back for what its workspace already has waiting. Each change of the
+/// workspace that is served may cost the set-up of a connection, which an endpoint without room can't afford.
+const MAX_FAIR_DELAY: Duration = Duration::from_millis(250);
+
 impl FencedGroup {
     /// Returns a request's place in the queue.
     pub(super) fn queue_key(&self, request: &WaitingRequest) -> Timestamp {
@@ -48,7 +52,7 @@
         others.dedup();
         let sharing = u32::try_from(others.len() + 1).unwrap_or(u32::MAX);
         let running = u32::try_from(self.running.len().max(1)).unwrap_or(u32::MAX);
-        backlog.saturating_mul(sharing) / running
+        (backlog.saturating_mul(sharing) / running).min(MAX_FAIR_DELAY)
     }
 
     /// Returns the mean of the times that the databases' statements are expected to take.
--- a/crates/decide/tests/fenced_group/mod.rs
+++ b/crates/decide/tests/fenced_group/mod.rs
@@ -1,8 +1,8 @@
 //! Drives the decisions of one host for a fenced group, and logs events and actions as text.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-pub mod pool;
 pub mod peak;
+pub mod pool;
 pub mod simulation;
 pub mod synchronous;
 
