--- a/crates/decide/src/allowance/rules.rs
+++ b/crates/decide/src/allowance/rules.rs
@@ -21,7 +21,7 @@
 
 /// Share of the limit that counters which have lost what they granted may grant in their first
 /// window. As much is held back from a workspace that asks for all at once.
-const RESTART_SHARE: f64 = 0.5;
+const RESTART_SHARE: f64 = 0.7;
 
 /// How the operations of workspaces are counted against their allowances.
 #[derive(Debug, Clone, Copy)]
