--- a/crates/decide/src/fenced/hopeless.rs
+++ b/crates/decide/src/fenced/hopeless.rs
@@ -106,7 +106,7 @@
     /// Refuses a request that arrives when the work ahead of it takes far longer than it may wait, with
     /// the time after which there is room again. Returns whether it did.
     ///
-    /// In force where endpoints are limited.
+    /// In force where endpoints are limited, and for requests of workspaces.
     pub(super) fn refuse_hopeless(
         &mut self,
         request: &WaitingRequest,
@@ -120,7 +120,8 @@
             .filter(|w| w.queue_key <= key && w.allows_replica() == any);
         let work = ahead.map(|w| self.work_of(w)).sum();
         let left = request.head.start_by.since(now);
-        if !self.config.limited || self.may_grow(any, now) {
+        let in_force = self.config.limited || !request.head.workspace.is_empty();
+        if !in_force || self.may_grow(any, now) {
             return false;
         }
         let Some(needed) = self.rates[usize::from(any)].time_for(work) else {
