Review: two holders promote with the same generation number after a drill

Cause: the fencing token is the version of the lease's row, and the store gives versions out again when it comes back from an older copy.

--- a/review/standin-2/era.rs
+++ b/review/standin-2/era.rs
@@ -106,6 +106,7 @@
                 store: address,
                 memory_mb: 260,
                 bootstrap: true,
+                contracts: "",
             };
             Host::start(&spec, &scratch.0)
         })
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -27,6 +27,8 @@
     pub store: SocketAddr,
     pub memory_mb: u64,
     pub bootstrap: bool,
+    /// The parts of the rules in force, besides those of every site.
+    pub contracts: &'a str,
 }
 
 impl Host {
@@ -41,6 +43,7 @@
             store,
             memory_mb,
             bootstrap,
+            contracts,
         } = spec;
         let text = format!(
             r#"NodeName = "{name}"
@@ -57,7 +60,7 @@
 Discovery = "platform"
 Entry = "vip"
 HeartbeatMs = 1200
-Contracts = ["base","drain","config","cost","recover","sql","platform"]
+Contracts = ["base","drain","config","cost","recover","sql","platform"{contracts}]
 [Zones]
 puget-a = "puget"
 puget-b = "puget"
--- a/review/standin-2/lost.rs
+++ b/review/standin-2/lost.rs
@@ -63,7 +63,8 @@
         },
         Box::new(move |line| watch.note(line)),
     );
-    let tokens = Mutex::new(0);
+    let newest = Arc::new(Mutex::new(0));
+    let tokens = Arc::clone(&newest);
     let (ordered, watch) = (Arc::clone(&group), record.clone());
     let promote = move |order: &crate::store::Order| {
         let mut newest = tokens.lock().unwrap();
@@ -111,6 +112,7 @@
                 store: address,
                 memory_mb: 260,
                 bootstrap: true,
+                contracts: "",
             };
             Host::start(&spec, &scratch.0)
         })
@@ -169,7 +171,11 @@
         group.set_draining(0);
         register(&store, &group, 1_000);
     }
-    pause(350);
+    // They become busy while the replacement is under way.
+    let end = Instant::now() + Duration::from_millis(if trouble { 3_000 } else { 350 });
+    while Instant::now() < end && *newest.lock().unwrap() == 0 {
+        pause(5);
+    }
     record.note("consumers: many writes");
     busy.store(true, Ordering::Relaxed);
     pause(3_000);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 //! Servers, store, promotion API and clients are threads of this process. It exits with 1 if the rule
 //! was broken, 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` it leaves the disruption out.
 
+mod drill;
 mod era;
 mod group;
 mod host;
@@ -92,6 +93,7 @@
     let outcome = {
         let scratch = Folder::new();
         match name.as_str() {
+            "drill" => drill::play(&record, &scratch, trouble),
             "era" => era::play(&record, &scratch, trouble),
             "lost" => lost::play(&record, &scratch, trouble),
             "memory" => memory::play(&record, &scratch, trouble),
--- a/review/standin-2/relayed.rs
+++ b/review/standin-2/relayed.rs
@@ -118,6 +118,7 @@
                 store: address,
                 memory_mb: MEMORY_MB,
                 bootstrap: true,
+                contracts: "",
             };
             Host::start(&spec, &scratch.0)
         })
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -31,6 +31,10 @@
     era: u64,
     /// Calls are refused with 503 while it is set.
     down: bool,
+    /// Nothing is answered while it is set, not even later.
+    silent: bool,
+    /// Changes with each silence. Connections from before are dead.
+    generation: u64,
 }
 
 /// A call of `POST /promote`.
@@ -61,6 +65,8 @@
                 content: Content::default(),
                 era: 1,
                 down: false,
+                silent: false,
+                generation: 0,
             }),
             changed: Condvar::new(),
             start: Instant::now(),
@@ -121,12 +127,27 @@
         self.state.lock().unwrap().down
     }
 
+    /// Goes away without a word: no connection of before is answered any more.
+    pub fn fall_silent(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.silent = true;
+        state.generation += 1;
+        self.changed.notify_all();
+    }
+
+    pub fn is_silent(&self) -> bool {
+        self.state.lock().unwrap().silent
+    }
+
     /// Comes back from an older copy. The caller writes what the operator and the servers wrote again.
     pub fn restore(&self, content: Content) {
         let mut state = self.state.lock().unwrap();
         state.content = content;
         state.era += 1;
         state.down = false;
+        if std::mem::take(&mut state.silent) {
+            state.generation += 2;
+        }
         self.changed.notify_all();
     }
 
@@ -136,8 +157,18 @@
             return;
         };
         let mut reader = BufReader::new(socket);
+        let accepted = {
+            let state = self.state.lock().unwrap();
+            state.generation + u64::from(state.silent)
+        };
         while let Some(call) = read_call(&mut reader) {
+            if self.is_dead(accepted) {
+                continue;
+            }
             let (status, body) = self.answer(&call);
+            if self.is_dead(accepted) {
+                continue;
+            }
             let era = self.state.lock().unwrap().era;
             let head = format!(
                 "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
@@ -149,6 +180,13 @@
         }
     }
 
+    /// Whether a connection that was accepted in this generation is never answered any more.
+    fn is_dead(&self, accepted: u64) -> bool {
+        let state = self.state.lock().unwrap();
+        // One that was accepted during a silence is ahead of its generation until the end.
+        state.silent || state.generation != accepted
+    }
+
     fn answer(&self, call: &Call) -> (u16, String) {
         let (path, query) = call.path.split_once('?').unwrap_or((&call.path, ""));
         let parameter = |name: &str| {
@@ -198,7 +236,7 @@
         let mut state = self.state.lock().unwrap();
         let era = state.era;
         loop {
-            if state.down || state.era != era {
+            if state.down || state.silent || state.era != era {
                 return (503, String::new());
             }
             if after > state.content.version {
