Review: a lagging replica is promoted over the living primary

Cause: the quorum of a survey counts the replicas that are listed at the moment. Once the entry of a crashed one is gone, the other one alone is a quorum, though it may have received nothing. Plays at the same time have different addresses.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/case ] && [ -x target/release/goldcrestusher ] || exit 2
-exec target/review-2/case lost review/6
+exec target/review-2/case quorum review/6
--- a/review/standin-2/drill.rs
+++ b/review/standin-2/drill.rs
@@ -69,7 +69,11 @@
     let waiting: Arc<Mutex<u64>> = Arc::default();
     // Each server writes at its own time.
     let mut beating = Vec::new();
-    for (number, (group, at)) in groups.iter().flat_map(|g| (0..3).map(move |at| (g, at))).enumerate() {
+    for (number, (group, at)) in groups
+        .iter()
+        .flat_map(|g| (0..3).map(move |at| (g, at)))
+        .enumerate()
+    {
         let (store, group, over) = (Arc::clone(&store), Arc::clone(group), Arc::clone(&over));
         let waiting = Arc::clone(&waiting);
         beating.push(thread::spawn(move || {
@@ -82,13 +86,15 @@
                 sequence += 1;
                 let (beat, again) = (Instant::now(), *waiting.lock().unwrap());
                 // What was lost is written again at once.
-                while beat.elapsed() < Duration::from_millis(HEARTBEAT) && again == *waiting.lock().unwrap() {
+                while beat.elapsed() < Duration::from_millis(HEARTBEAT)
+                    && again == *waiting.lock().unwrap()
+                {
                     pause(5);
                 }
             }
         }));
     }
-    let hosts: Vec<Host> = (0..6)
+    let mut hosts: Vec<Host> = (0..6)
         .map(|n| {
             let spec = HostSpec {
                 name: &format!("front-{}", n + 1),
@@ -105,8 +111,8 @@
             Host::start(&spec, &scratch.0)
         })
         .collect();
-    for host in &hosts {
-        if !host.wait_ready(Duration::from_secs(20)) {
+    for host in &mut hosts {
+        if !host.wait_ready(Duration::from_secs(20)) || host.ended().is_some() {
             return Outcome::NotRun(format!("{} does not become ready", host.name));
         }
     }
@@ -119,10 +125,16 @@
     }
     pause(3_000);
     let copy = store.copy();
-    record.note(&format!("store: a copy of version {} is made", copy.version));
+    record.note(&format!(
+        "store: a copy of version {} is made",
+        copy.version
+    ));
     pause(AGE - AWAY);
     if trouble {
-        record.note(&format!("store: away at version {}, nothing is answered", store.version()));
+        record.note(&format!(
+            "store: away at version {}, nothing is answered",
+            store.version()
+        ));
         store.fall_silent();
         pause(AWAY);
         store.restore(copy);
@@ -139,14 +151,20 @@
     let mut seen = Vec::new();
     while acknowledged.elapsed() < APPLY {
         pause(5_000);
-        seen = hosts.iter().map(|host| read(record, host, "k-1", "after")).collect();
+        seen = hosts
+            .iter()
+            .map(|host| read(record, host, "k-1", "after"))
+            .collect();
         record.note(&format!(
             "{:.0} s after the acknowledgement, at version {}: machines that serve the key k-1: {seen:?}",
             acknowledged.elapsed().as_secs_f64(),
             store.version()
         ));
     }
-    let last: Vec<bool> = hosts.iter().map(|host| read(record, host, "k-1", "last")).collect();
+    let last: Vec<bool> = hosts
+        .iter()
+        .map(|host| read(record, host, "k-1", "last"))
+        .collect();
     over.store(true, Ordering::Relaxed);
     for beat in beating {
         let _ = beat.join();
@@ -166,8 +184,11 @@
     let routes = SERVICES.map(|s| {
         format!("{{\"Name\":\"r-{s}\",\"Host\":\"db-{s}\",\"Prefix\":\"/\",\"RouteType\":\"bounded_staleness\",\"TimeoutMs\":1200,\"TargetLatencyMs\":600,\"Priority\":2,\"Service\":\"{s}\",\"MaxAttempts\":2,\"MaxStalenessMs\":1500}}")
     });
-    let services = SERVICES
-        .map(|s| format!("{{\"Name\":\"{s}\",\"HealthPath\":\"/health\",\"MaxConns\":56,\"SyncReplicas\":0}}"));
+    let services = SERVICES.map(|s| {
+        format!(
+            "{{\"Name\":\"{s}\",\"HealthPath\":\"/health\",\"MaxConns\":56,\"SyncReplicas\":0}}"
+        )
+    });
     format!(
         "{{\"ConfigVersion\":{version},\"Routes\":[{}],\"Services\":[{}],\"Tenants\":[{{\"Name\":\"t-1\",\"ApiKeys\":[{keys}]}},{{\"Name\":\"t-2\",\"ApiKeys\":[\"k-3\"]}}],\"Limits\":{{\"TxIdleMs\":3000}}}}",
         routes.join(","),
@@ -178,7 +199,8 @@
 /// Reads with a key through a machine, in a new session. Returns whether a server ran the read.
 fn read(record: &Record, host: &Host, key: &str, when: &str) -> bool {
     let id = format!("{key}-{when}-{}", host.name);
-    let answer = Client::open(host.front, "db-cat-1", key).and_then(|mut c| c.query(&id, "READ 1a4"));
+    let answer =
+        Client::open(host.front, "db-cat-1", key).and_then(|mut c| c.query(&id, "READ 1a4"));
     record.note(&format!("consumer: {id} is answered {answer:?}"));
     succeeded(answer.as_ref())
 }
--- a/review/standin-2/era.rs
+++ b/review/standin-2/era.rs
@@ -89,14 +89,16 @@
                     }
                     sequence += 1;
                     let (beat, led) = (Instant::now(), group.leads(at));
-                    while beat.elapsed() < Duration::from_millis(HEARTBEAT) && group.leads(at) == led {
+                    while beat.elapsed() < Duration::from_millis(HEARTBEAT)
+                        && group.leads(at) == led
+                    {
                         pause(5);
                     }
                 }
             })
         })
         .collect();
-    let hosts: Vec<Host> = (0..6)
+    let mut hosts: Vec<Host> = (0..6)
         .map(|n| {
             let spec = HostSpec {
                 name: &format!("front-{}", n + 1),
@@ -111,14 +113,16 @@
             Host::start(&spec, &scratch.0)
         })
         .collect();
-    for host in &hosts {
-        if !host.wait_ready(Duration::from_secs(20)) {
+    for host in &mut hosts {
+        if !host.wait_ready(Duration::from_secs(20)) || host.ended().is_some() {
             return Outcome::NotRun(format!("{} does not become ready", host.name));
         }
     }
     record.note("six processes are ready");
     let mut client = Client::open(hosts[0].front, "orders", "u1");
-    let served = client.as_mut().is_some_and(|c| succeeded(c.query("q1", "WRITE a b").as_ref()));
+    let served = client
+        .as_mut()
+        .is_some_and(|c| succeeded(c.query("q1", "WRITE a b").as_ref()));
     if !served {
         return Outcome::NotRun("no write is served".to_owned());
     }
@@ -126,7 +130,10 @@
     while rounds < ROUNDS {
         rounds += 1;
         let copy = store.copy();
-        record.note(&format!("store: a copy of version {} is made", copy.version));
+        record.note(&format!(
+            "store: a copy of version {} is made",
+            copy.version
+        ));
         pause(4_000);
         if !release(record, &store, &group, &orders) {
             return Outcome::NotRun("the first primary was not replaced".to_owned());
@@ -144,7 +151,10 @@
             for at in 0..SERVERS.len() {
                 store.put("servers", SERVERS[at], &group.entry(at, 1_000));
             }
-            record.note(&format!("store: back from the copy, at version {}", store.version()));
+            record.note(&format!(
+                "store: back from the copy, at version {}",
+                store.version()
+            ));
             // The primary is replaced as the counter comes to where it was, between two heartbeats.
             let end = Instant::now() + Duration::from_secs(8);
             let (mut version, mut since) = (store.version(), Instant::now());
@@ -192,7 +202,8 @@
 fn clash(orders: &[Order]) -> Option<(Order, Order)> {
     let pairs = orders.iter().enumerate();
     let mut pairs = pairs.flat_map(|(at, a)| orders[at + 1..].iter().map(move |b| (a, b)));
-    let found = pairs.find(|(a, b)| a.token == b.token && a.holder != b.holder && a.service == b.service);
+    let found =
+        pairs.find(|(a, b)| a.token == b.token && a.holder != b.holder && a.service == b.service);
     found.map(|(a, b)| (a.clone(), b.clone()))
 }
 
@@ -205,7 +216,10 @@
     let before = orders.lock().unwrap().len();
     group.set_draining(at);
     store.put("servers", leader, &group.entry(at, 2_000));
-    record.note(&format!("servers: {leader} reports draining, at version {}", store.version()));
+    record.note(&format!(
+        "servers: {leader} reports draining, at version {}",
+        store.version()
+    ));
     let end = Instant::now() + Duration::from_secs(12);
     while Instant::now() < end {
         pause(5);
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -26,6 +26,7 @@
     pub number: u64,
     /// The id of the statement that committed it.
     pub id: String,
+    pub item: String,
 }
 
 /// What one server is made of.
@@ -43,6 +44,8 @@
 struct Server {
     up: bool,
     draining: bool,
+    /// Whether it receives nothing.
+    deaf: bool,
     born: u64,
     paused: Option<u64>,
     term: u64,
@@ -98,6 +101,7 @@
         let servers = options.specs.iter().map(|_| Server {
             up: true,
             draining: false,
+            deaf: false,
             born: 1_700_000_000_000,
             paused: None,
             term: options.term,
@@ -105,6 +109,7 @@
                 term: options.term,
                 number: 100,
                 id: "-".to_owned(),
+                item: String::new(),
             }],
             coming: VecDeque::new(),
             connections: 0,
@@ -168,7 +173,11 @@
     pub fn entry(&self, at: usize, sequence: u64) -> String {
         let state = self.lock();
         let server = &state.servers[at];
-        let role = if state.leader == Some(at) { "primary" } else { "replica" };
+        let role = if state.leader == Some(at) {
+            "primary"
+        } else {
+            "replica"
+        };
         let shown = if server.draining { "draining" } else { "ready" };
         format!(
             "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"ConfigVersion\":\"v1\",\"Slots\":{},\"State\":\"{shown}\",\"ColdRemainingMs\":0,\"DbRole\":\"{role}\",\"Sequence\":{sequence},\"born\":{}}}",
@@ -235,15 +244,28 @@
         let now = Instant::now();
         let mut changed = false;
         for server in &mut state.servers {
+            if server.paused.is_some() || server.deaf || !server.up {
+                server.coming.clear();
+            }
             while server.coming.front().is_some_and(|(due, _)| *due <= now) {
                 let Some((_, entry)) = server.coming.pop_front() else {
                     break;
                 };
-                if server.paused.is_none() && server.up {
+                // The end of the log of a new term.
+                if entry.number == 0 {
                     server.term = server.term.max(entry.term);
-                    server.log.push(entry);
-                    changed = true;
+                    continue;
+                }
+                if server
+                    .log
+                    .last()
+                    .is_some_and(|l| l.number + 1 != entry.number)
+                {
+                    continue;
                 }
+                server.term = server.term.max(entry.term);
+                server.log.push(entry);
+                changed = true;
             }
         }
         if let Some((_, next)) = state.promotion.filter(|(due, _)| *due <= now) {
@@ -288,16 +310,70 @@
             if !server.up {
                 continue;
             }
-            server.term = term;
             if at == next {
+                server.term = term;
                 continue;
             }
             let kept = common(&log, &server.log);
             server.log.truncate(kept);
-            let delay = self.delay(next, at);
-            let missing = log[kept..].iter().cloned();
-            server.coming.extend(missing.map(|entry| (now + delay, entry)));
         }
+        for at in 0..self.specs.len() {
+            self.resync(state, at, now);
+        }
+    }
+
+    /// Has the leader send a replica what it lacks.
+    fn resync(&self, state: &mut State, at: usize, now: Instant) {
+        let Some(leader) = state.leader.filter(|l| *l != at && state.servers[*l].up) else {
+            return;
+        };
+        let log = state.servers[leader].log.clone();
+        let (term, delay) = (state.term, self.delay(leader, at));
+        let server = &mut state.servers[at];
+        if !server.up || server.paused.is_some() || server.deaf {
+            return;
+        }
+        let kept = common(&log, &server.log);
+        server.log.truncate(kept);
+        server.coming = log[kept..]
+            .iter()
+            .cloned()
+            .map(|entry| (now + delay, entry))
+            .collect();
+        // The end of the log of the new term.
+        let end = Entry {
+            term,
+            number: 0,
+            id: String::new(),
+            item: String::new(),
+        };
+        server.coming.push_back((now + delay, end));
+    }
+
+    /// Has a server that crashed come back with its log.
+    pub fn revive(&self, at: usize) {
+        let mut state = self.lock();
+        state.servers[at].up = true;
+        state.servers[at].paused = None;
+        state.servers[at].born += 1_000;
+        let now = Instant::now();
+        if state.leader == Some(at) {
+            for other in 0..self.specs.len() {
+                self.resync(&mut state, other, now);
+            }
+        } else {
+            self.resync(&mut state, at, now);
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Sets whether a replica receives nothing.
+    pub fn set_deaf(&self, at: usize, deaf: bool) {
+        let mut state = self.lock();
+        state.servers[at].deaf = deaf;
+        let now = Instant::now();
+        self.resync(&mut state, at, now);
     }
 
     fn delay(&self, from: usize, to: usize) -> Duration {
@@ -308,7 +384,7 @@
 
     /// Appends a commit at the leader, and waits until it may be acknowledged. Returns false if the
     /// server has lost the lead or crashed before.
-    fn commit(&self, at: usize, id: &str) -> bool {
+    fn commit(&self, at: usize, id: &str, item: &str) -> bool {
         let mut state = self.lock();
         if state.leader != Some(at) || !state.servers[at].up {
             return false;
@@ -319,13 +395,14 @@
             term,
             number,
             id: id.to_owned(),
+            item: item.to_owned(),
         };
         state.servers[at].log.push(entry.clone());
         let now = Instant::now();
         for other in (0..self.specs.len()).filter(|other| *other != at) {
             let due = now + self.delay(at, other);
             let server = &mut state.servers[other];
-            if server.up && server.paused.is_none() {
+            if server.up && server.paused.is_none() && !server.deaf {
                 let last = server.coming.back().map(|(due, _)| *due);
                 let due = last.map_or(due, |last| last.max(due));
                 server.coming.push_back((due, entry.clone()));
@@ -448,7 +525,11 @@
     fn work(&self, at: usize, time: Duration) {
         let mut state = self.lock();
         while state.servers[at].busy >= self.slots {
-            state = self.changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
+            state = self
+                .changed
+                .wait_timeout(state, Duration::from_millis(50))
+                .unwrap()
+                .0;
         }
         state.servers[at].busy += 1;
         drop(state);
@@ -574,7 +655,8 @@
                 done()
             }
             "PREPARE" => {
-                self.prepared.insert(words[1].to_owned(), words[2] == "WRITE");
+                self.prepared
+                    .insert(words[1].to_owned(), words[2] == "WRITE");
                 done()
             }
             "DEALLOC" => {
@@ -582,12 +664,12 @@
                 done()
             }
             "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" => self.command(group, &words),
-            "READ" => self.read(group, id),
-            "WRITE" => self.write(group, id),
+            "READ" => self.read(group, id, words[1]),
+            "WRITE" => self.write(group, id, words[1]),
             "EXECUTE" => match self.prepared.get(words[1]).copied() {
                 None => self.error("NOSTMT"),
-                Some(true) => self.write(group, id),
-                Some(false) => self.read(group, id),
+                Some(true) => self.write(group, id, words[2]),
+                Some(false) => self.read(group, id, words[2]),
             },
             _ => self.error("MALFORMED"),
         }
@@ -599,22 +681,28 @@
         group.lock().runs.push((short, server));
     }
 
-    fn read(&mut self, group: &Group, id: &str) -> Option<Vec<u8>> {
+    fn read(&mut self, group: &Group, id: &str, item: &str) -> Option<Vec<u8>> {
         group.work(self.at, WORK);
         self.note(group, id);
-        Some([b"ROW data\r\n".to_vec(), group.receipt(id)].concat())
+        let value = {
+            let state = group.lock();
+            let log = &state.servers[self.at].log;
+            let found = log.iter().rev().find(|e| e.item == item);
+            found.map_or_else(|| "none".to_owned(), |e| e.id.clone())
+        };
+        Some([format!("ROW {value}\r\n").into_bytes(), group.receipt(id)].concat())
     }
 
-    fn write(&mut self, group: &Group, id: &str) -> Option<Vec<u8>> {
+    fn write(&mut self, group: &Group, id: &str, item: &str) -> Option<Vec<u8>> {
         if group.lock().leader != Some(self.at) {
             return self.error("READONLY");
         }
         group.work(self.at, WORK);
         self.note(group, id);
         match &mut self.transaction {
-            Transaction::Open(writes) => writes.push(id.to_owned()),
+            Transaction::Open(writes) => writes.push(item.to_owned()),
             _ => {
-                if !group.commit(self.at, id) {
+                if !group.commit(self.at, id, item) {
                     return None;
                 }
             }
@@ -629,19 +717,24 @@
             Transaction::Failed => self.error("READONLY"),
             Transaction::ReadOnly => Some(group.receipt(id)),
             Transaction::Open(writes) if writes.is_empty() => Some(group.receipt(id)),
-            Transaction::Open(_) => {
+            Transaction::Open(writes) => {
                 if group.lock().leader != Some(self.at) {
                     return self.error("READONLY");
                 }
                 group.work(self.at, WORK);
                 self.note(group, id);
-                group.commit(self.at, id).then(|| group.receipt(id))
+                group
+                    .commit(self.at, id, &writes[0])
+                    .then(|| group.receipt(id))
             }
         }
     }
 
     fn command(&mut self, group: &Group, words: &[&str]) -> Option<Vec<u8>> {
-        let term: u64 = words.get(1).and_then(|w| w.parse().ok()).unwrap_or_default();
+        let term: u64 = words
+            .get(1)
+            .and_then(|w| w.parse().ok())
+            .unwrap_or_default();
         let mut state = group.lock();
         let (leads, newest) = (state.leader == Some(self.at), state.term);
         match words[0] {
@@ -650,7 +743,10 @@
                 state.leader = None;
             }
             "PAUSE" if !leads && term > newest => state.servers[self.at].paused = Some(term),
-            "RESUME" => state.servers[self.at].paused = None,
+            "RESUME" => {
+                state.servers[self.at].paused = None;
+                group.resync(&mut state, self.at, Instant::now());
+            }
             _ => {}
         }
         let leads = state.leader == Some(self.at);
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -124,17 +124,11 @@
         }
     }
 
-    /// The lines of its log that contain a text.
-    pub fn lines(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        let lines = log.lines().filter(|line| line.contains(text));
-        lines.map(str::to_owned).collect()
-    }
-
     /// Whether it answers the balancer with 200.
     pub fn is_ready(&self) -> bool {
         let address: SocketAddr = format!("{}:8785", self.ip).parse().expect("an address");
-        let Ok(mut socket) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) else {
+        let Ok(mut socket) = TcpStream::connect_timeout(&address, Duration::from_millis(200))
+        else {
             return false;
         };
         let _ = socket.set_read_timeout(Some(Duration::from_millis(500)));
@@ -217,7 +211,10 @@
         out.set_write_timeout(Some(Duration::from_secs(5))).ok()?;
         let reader = BufReader::new(out.try_clone().ok()?);
         let mut client = Self { reader, out };
-        client.out.write_all(format!("STARTUP {database} {key}\r\n").as_bytes()).ok()?;
+        client
+            .out
+            .write_all(format!("STARTUP {database} {key}\r\n").as_bytes())
+            .ok()?;
         let line = client.line()?;
         line.starts_with("READY").then_some(client)
     }
@@ -231,7 +228,9 @@
     /// Runs a statement. Returns the lines of its answer, of which the last one is `READY`, or `None` if
     /// there is no whole answer.
     pub fn query(&mut self, id: &str, text: &str) -> Option<Vec<String>> {
-        self.out.write_all(format!("QUERY {id} {text}\r\n").as_bytes()).ok()?;
+        self.out
+            .write_all(format!("QUERY {id} {text}\r\n").as_bytes())
+            .ok()?;
         let mut lines = Vec::new();
         loop {
             let line = self.line()?;
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -114,7 +114,8 @@
                             b't' => out.push(b'\t'),
                             b'r' => out.push(b'\r'),
                             b'u' => {
-                                let code = std::str::from_utf8(bytes.get(*at + 1..*at + 5)?).ok()?;
+                                let code =
+                                    std::str::from_utf8(bytes.get(*at + 1..*at + 5)?).ok()?;
                                 let code = u32::from_str_radix(code, 16).ok()?;
                                 let mut buffer = [0; 4];
                                 let letter = char::from_u32(code).unwrap_or('?');
--- a/review/standin-2/lost.rs
+++ b/review/standin-2/lost.rs
@@ -102,7 +102,7 @@
             }
         })
     };
-    let hosts: Vec<Host> = (0..6)
+    let mut hosts: Vec<Host> = (0..6)
         .map(|n| {
             let spec = HostSpec {
                 name: &format!("front-{}", n + 1),
@@ -117,8 +117,8 @@
             Host::start(&spec, &scratch.0)
         })
         .collect();
-    for host in &hosts {
-        if !host.wait_ready(Duration::from_secs(20)) {
+    for host in &mut hosts {
+        if !host.wait_ready(Duration::from_secs(20)) || host.ended().is_some() {
             return Outcome::NotRun(format!("{} does not become ready", host.name));
         }
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,15 +10,16 @@
 mod json;
 mod lost;
 mod memory;
-mod relayed;
+mod quorum;
 mod store;
 
 use std::{
     fs::{self, File},
     io::Write,
+    net::TcpListener,
     path::{Path, PathBuf},
     process::exit,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, OnceLock},
     time::{Duration, Instant},
 };
 
@@ -71,10 +72,21 @@
     }
 }
 
+/// The third part of the play's addresses. The listener keeps it from other plays at the same time.
+static NET: OnceLock<(u8, TcpListener)> = OnceLock::new();
+
 /// An address of the loopback net for a process, other than those of a play at the same time.
 pub fn loopback(number: u8) -> String {
-    let play = std::process::id() % 200 + 20;
-    format!("127.77.{play}.{number}")
+    let (net, _) = NET.get_or_init(|| {
+        let first = std::process::id();
+        let nets = (0..200).map(|step| ((first + step) % 200 + 20) as u8);
+        let mut free = nets.filter_map(|net| {
+            let listener = TcpListener::bind((format!("127.77.{net}.254"), 8784)).ok()?;
+            Some((net, listener))
+        });
+        free.next().expect("free loopback addresses")
+    });
+    format!("127.77.{net}.{number}")
 }
 
 pub fn pause(milliseconds: u64) {
@@ -97,7 +109,7 @@
             "era" => era::play(&record, &scratch, trouble),
             "lost" => lost::play(&record, &scratch, trouble),
             "memory" => memory::play(&record, &scratch, trouble),
-            "relayed" => relayed::play(&record, &scratch, trouble),
+            "quorum" => quorum::play(&record, &scratch, trouble),
             _ => Outcome::NotRun("no such case".to_owned()),
         }
     };
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -30,6 +30,9 @@
 /// Clients at each of two machines, one after another without end.
 const CLIENTS: usize = 8;
 
+/// Different names of prepared statements.
+const NAMES: usize = 32;
+
 /// How often a process must have ended on two machines.
 const ENDS: usize = 3;
 
@@ -75,8 +78,11 @@
             format!("{{\"Name\":\"r-{s}\",\"Host\":\"db-{s}\",\"Prefix\":\"/\",\"RouteType\":\"bounded_staleness\",\"TimeoutMs\":1200,\"TargetLatencyMs\":600,\"Priority\":2,\"Service\":\"{s}\",\"MaxAttempts\":2,\"MaxStalenessMs\":1500}}")
         })
         .collect();
-    let services = SERVICES
-        .map(|s| format!("{{\"Name\":\"{s}\",\"HealthPath\":\"/health\",\"MaxConns\":16,\"SyncReplicas\":0}}"));
+    let services = SERVICES.map(|s| {
+        format!(
+            "{{\"Name\":\"{s}\",\"HealthPath\":\"/health\",\"MaxConns\":16,\"SyncReplicas\":0}}"
+        )
+    });
     store.put(
         "op",
         "config",
@@ -117,8 +123,8 @@
             Host::start(&spec, &scratch.0)
         })
         .collect();
-    for host in &hosts {
-        if !host.wait_ready(Duration::from_secs(20)) {
+    for host in &mut hosts {
+        if !host.wait_ready(Duration::from_secs(20)) || host.ended().is_some() {
             return Outcome::NotRun(format!("{} does not become ready", host.name));
         }
     }
@@ -136,7 +142,11 @@
                 let mut turn = 0;
                 while !over.load(Ordering::Relaxed) {
                     turn += 1;
-                    let count = if visit(front, number, turn, size) { &served } else { &refused };
+                    let count = if visit(front, number, turn, size) {
+                        &served
+                    } else {
+                        &refused
+                    };
                     if count.fetch_add(1, Ordering::Relaxed) > 0 && !trouble {
                         pause(5);
                     }
@@ -202,8 +212,7 @@
         pause(50);
         return false;
     };
-    let names: usize = std::env::var("NAMES").ok().and_then(|n| n.parse().ok()).unwrap_or(32);
-    let name = format!("p{}", (number * 4 + turn / 3) % names);
+    let name = format!("p{}", (number * 4 + turn / 3) % NAMES);
     let shape = format!("q{number}x{turn}y{}", "z".repeat(size));
     let id = format!("c{number}t{turn}");
     let steps = [
@@ -211,5 +220,8 @@
         format!("EXECUTE {name} 1a4"),
         format!("DEALLOC {name}"),
     ];
-    steps.iter().enumerate().all(|(at, step)| succeeded(client.query(&format!("{id}s{at}"), step).as_ref()))
+    steps
+        .iter()
+        .enumerate()
+        .all(|(at, step)| succeeded(client.query(&format!("{id}s{at}"), step).as_ref()))
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -107,13 +107,6 @@
         self.state.lock().unwrap().content.version
     }
 
-    /// The present value of a row.
-    pub fn value(&self, table: &str, key: &str) -> Option<String> {
-        let state = self.state.lock().unwrap();
-        let row = state.content.rows.get(&(table.to_owned(), key.to_owned()))?;
-        (!row.deleted).then(|| String::from_utf8_lossy(&json::from_base64(&row.value)).into_owned())
-    }
-
     pub fn copy(&self) -> Content {
         self.state.lock().unwrap().content.clone()
     }
@@ -191,7 +184,9 @@
         let (path, query) = call.path.split_once('?').unwrap_or((&call.path, ""));
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-            pairs.find(|(key, _)| *key == name).map_or("", |(_, value)| value)
+            pairs
+                .find(|(key, _)| *key == name)
+                .map_or("", |(_, value)| value)
         };
         if path == "/promote" {
             return self.order(call);
@@ -270,7 +265,9 @@
         };
         for row in rows("ExpectedRev") {
             let known = state.content.rows.get(&key(&row));
-            let known = known.filter(|row| !row.deleted).map_or(0, |row| row.version);
+            let known = known
+                .filter(|row| !row.deleted)
+                .map_or(0, |row| row.version);
             if known != row.get("Ver").number() {
                 return (412, self.rows(&state.content, &[], false));
             }
@@ -376,7 +373,9 @@
         }
     }
     let length = headers.iter().find(|(key, _)| key == "content-length");
-    let length = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    let length = length
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     Some(Call {
