--- a/review/standin-2/drill.rs
+++ b/review/standin-2/drill.rs
@@ -103,11 +103,9 @@
                 region: "puget",
                 store: address,
                 memory_mb: 260,
-                bootstrap: false,
+                bootstrap: true,
                 contracts: ",\"tenants\"",
             };
-            // The machines were last started one after the other.
-            pause(650);
             Host::start(&spec, &scratch.0)
         })
         .collect();
@@ -123,7 +121,7 @@
             return Outcome::NotRun(format!("{} does not serve", host.name));
         }
     }
-    pause(3_000);
+    pause(5_000);
     let copy = store.copy();
     record.note(&format!(
         "store: a copy of version {} is made",
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -736,7 +736,8 @@
             .and_then(|w| w.parse().ok())
             .unwrap_or_default();
         let mut state = group.lock();
-        let (leads, newest) = (state.leader == Some(self.at), state.term);
+        // What this server knows of terms: nobody tells one that receives nothing.
+        let (leads, newest) = (state.leader == Some(self.at), state.servers[self.at].term);
         match words[0] {
             // A primary of a lower term becomes a replica. Nobody leads then.
             "STEPDOWN" if leads && newest < term => {
--- a/review/standin-2/quorum.rs
+++ b/review/standin-2/quorum.rs
@@ -30,7 +30,7 @@
 const LISTED: Duration = Duration::from_millis(3_600);
 
 /// How long a replica receives nothing, in milliseconds.
-const DEAF: u64 = 7_000;
+const DEAF: u64 = 6_000;
 
 /// When the primary crashes meanwhile.
 const CRASH: u64 = 700;
