--- a/review/standin-2/lost.rs
+++ b/review/standin-2/lost.rs
@@ -31,22 +31,22 @@
     // One replica is in the zone next to the primary, the other one in another area, as the machines are.
     let specs = vec![
         ServerSpec {
-            id: "i-p",
+            id: "i-1",
             zone: "puget-a",
             from_machines: far,
-            receives: &[("i-far", 12_000), ("i-near", 500)],
+            receives: &[("i-2", 12_000), ("i-3", 500)],
         },
         ServerSpec {
-            id: "i-near",
+            id: "i-3",
             zone: "puget-b",
-            from_machines: far + Duration::from_millis(1),
-            receives: &[("i-p", 500), ("i-far", 12_000)],
+            from_machines: far,
+            receives: &[("i-1", 500), ("i-2", 12_000)],
         },
         ServerSpec {
-            id: "i-far",
+            id: "i-2",
             zone: "inland-a",
             from_machines: Duration::from_micros(100),
-            receives: &[("i-p", 12_000), ("i-near", 12_000)],
+            receives: &[("i-1", 12_000), ("i-3", 12_000)],
         },
     ];
     let watch = record.clone();
@@ -167,7 +167,7 @@
         return Outcome::NotRun("no write is served".to_owned());
     }
     if trouble {
-        record.note("servers: i-p reports draining");
+        record.note("servers: i-1 reports draining");
         group.set_draining(0);
         register(&store, &group, 1_000);
     }
