Store: each answer's era is known, and versions carry it

Nothing of the store's answers but status and body was read, so no host knew that the store had been restored from an older copy and that its versions were given out again. Each answer is now observed by decide::eras::Eras, whichever call it belongs to; an answer from before a restore counts as none. A version is a type of its own, the counter with its era, compared by eras first.

Nothing rests on the era yet: hosts behave as before, with and without the header.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod concurrency;
 pub mod configuration;
+pub mod eras;
 pub mod fence;
 pub mod fenced;
 pub mod fleet;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod names;
 pub mod request;
 pub mod statement;
+pub mod store;
 pub mod table;
 pub mod timestamp;
 pub mod workspace;
@@ -27,6 +28,7 @@
         ReplicationStatus, Setting, Statement, StatementResult, StoreError, StoreNotice,
         SuccessionCommand, TxStart, Verdict,
     },
+    store::StoreVersion,
     table::{TableCursor, TableQuery, TableReply, TableUpdate},
     timestamp::Timestamp,
     workspace::{Allowance, AllowanceAnswer, AllowanceAsk, KeyDigest},
