--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod group;
 pub mod inspection;
+pub mod lease;
 pub mod matching;
 pub mod owners;
 pub mod pool;
