Followed tables are read anew after a restore of the store

Cause: the position in the feed knew no era. A call from before the restore timed out, and the next one asked for the changes after a version that had been given out again meanwhile, beyond the new configuration.

Change: a position is a version with its era, in the feed, in what hosts pass on to each other and in the check for stray answers.

--- a/crates/decide/src/tables/publisher.rs
+++ b/crates/decide/src/tables/publisher.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
-use goldcrest_types::{Name, TableCursor, TableQuery, TableReply, TableUpdate, Timestamp};
+use goldcrest_types::{
+    Name, StoreVersion, TableCursor, TableQuery, TableReply, TableUpdate, Timestamp,
+};
 use smallvec::SmallVec;
 
 /// Removed keys that are remembered. Hosts that know an older state get the whole table.
@@ -45,7 +47,7 @@
     /// The last change whose removed key was forgotten.
     forgotten: u64,
     /// The version of the store that the rows are of.
-    version: u64,
+    version: StoreVersion,
     /// When the store last confirmed the rows, or `None` before it did.
     confirmed_at: Option<Timestamp>,
     waiting: Vec<WaitingQuery>,
@@ -60,18 +62,19 @@
             rows: BTreeMap::new(),
             removed: VecDeque::new(),
             forgotten: 0,
-            version: 0,
+            version: StoreVersion::default(),
             confirmed_at: None,
             waiting: Vec::new(),
         }
     }
 
     /// Publishes the rows of the store's `version`, which the store confirmed at `confirmed_at`.
-    /// Rows of a lower version than the published ones are ignored.
+    /// Rows of a lower version than the published ones are ignored. After a restore of the store all its
+    /// versions are higher.
     pub fn publish(
         &mut self,
         rows: &BTreeMap<Name, Bytes>,
-        version: u64,
+        version: StoreVersion,
         confirmed_at: Timestamp,
         now: Timestamp,
     ) -> Answers {
--- a/crates/decide/tests/tables.rs
+++ b/crates/decide/tests/tables.rs
@@ -7,7 +7,7 @@
     owners::Candidate,
     tables::{AGE_LIMIT, Answers, Choice, Publisher, Source, Sources, plan},
 };
-use goldcrest_types::{Name, TableQuery, TableReply, Timestamp};
+use goldcrest_types::{Name, StoreVersion, TableQuery, TableReply, Timestamp};
 use rstest::rstest;
 
 const REGIONS: [&str; 3] = ["east", "north", "west"];
@@ -37,6 +37,10 @@
         .collect()
 }
 
+fn version(change: u64) -> StoreVersion {
+    StoreVersion::new(0, change)
+}
+
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
 }
@@ -161,7 +165,7 @@
                 };
                 let query = TableQuery {
                     known: asking.known.filter(|(from, _)| *from == host).map(|k| k.1),
-                    version: asking.version,
+                    version: version(asking.version),
                     wait,
                 };
                 if !self.hosts[host].frozen {
@@ -184,13 +188,15 @@
         if now < until && host.version == self.version {
             return;
         }
-        let (version, table) = (self.version, self.table());
+        let table = self.table();
         let host = &mut self.hosts[number];
-        host.version = version;
+        host.version = self.version;
         host.known = None;
         host.sources.answered(&Source::Store, Duration::ZERO);
         host.activity = Activity::Pause(now + FEED_PAUSE);
-        let answers = host.publisher.publish(&table, version, now, now);
+        let answers = host
+            .publisher
+            .publish(&table, version(self.version), now, now);
         self.deliver(number, answers);
     }
 
@@ -219,12 +225,13 @@
             return self.fail(number, &source);
         };
         let host = &mut self.hosts[number];
-        assert!(reply.version >= host.version || reply.age > Duration::ZERO);
-        if !host.sources.answered(&source, reply.age) || reply.version < host.version {
+        let known = version(host.version);
+        assert!(reply.version >= known || reply.age > Duration::ZERO);
+        if !host.sources.answered(&source, reply.age) || reply.version < known {
             return self.fail(number, &source);
         }
         let table = rows(&[("config", &reply.version.to_string())]);
-        host.version = reply.version;
+        host.version = reply.version.change;
         host.known = Some((from, reply.cursor));
         host.activity = Activity::Idle;
         let confirmed_at = now.before(reply.age);
@@ -345,10 +352,10 @@
     }
 }
 
-fn query(known: Option<&TableReply>, version: u64, wait: u64) -> TableQuery {
+fn query(known: Option<&TableReply>, change: u64, wait: u64) -> TableQuery {
     TableQuery {
         known: known.map(|reply| reply.cursor),
-        version,
+        version: version(change),
         wait: Duration::from_millis(wait),
     }
 }
@@ -356,10 +363,20 @@
 /// A publisher that has read three versions of a table.
 fn published() -> (Publisher, TableReply) {
     let mut publisher = Publisher::new(7);
-    publisher.publish(&rows(&[("a", "1"), ("b", "1")]), 10, at(1_000), at(1_000));
+    publisher.publish(
+        &rows(&[("a", "1"), ("b", "1")]),
+        version(10),
+        at(1_000),
+        at(1_000),
+    );
     let mut answers = publisher.query(1, query(None, 0, 0), at(1_100));
     let first = answers.remove(0).1.unwrap();
-    publisher.publish(&rows(&[("a", "2"), ("c", "1")]), 12, at(1_200), at(1_200));
+    publisher.publish(
+        &rows(&[("a", "2"), ("c", "1")]),
+        version(12),
+        at(1_200),
+        at(1_200),
+    );
     (publisher, first)
 }
 
@@ -367,7 +384,12 @@
 fn a_known_state_is_answered_with_the_difference() {
     let (mut publisher, first) = published();
     let news = publisher.query(2, query(Some(&first), 10, 1_000), at(1_300));
-    publisher.publish(&rows(&[("a", "2"), ("b", "9")]), 13, at(1_400), at(1_400));
+    publisher.publish(
+        &rows(&[("a", "2"), ("b", "9")]),
+        version(13),
+        at(1_400),
+        at(1_400),
+    );
     let again = publisher.query(3, query(Some(&first), 10, 1_000), at(1_500));
     insta::assert_snapshot!(format!("{first:?}\n{news:?}\n{again:?}"));
 }
@@ -388,7 +410,7 @@
     let (mut publisher, first) = published();
     let held = publisher.query(2, query(Some(&first), 15, 500), at(1_300));
     assert!(held.is_empty());
-    let answers = publisher.publish(&rows(&[("a", "2")]), 15, at(1_350), at(1_350));
+    let answers = publisher.publish(&rows(&[("a", "2")]), version(15), at(1_350), at(1_350));
     insta::assert_snapshot!(format!("{answers:?}"));
 }
 
@@ -411,13 +433,13 @@
     let (mut publisher, first) = published();
     let large = "x".repeat(250_000);
     let table = rows(&[("a", &large), ("c", "1")]);
-    publisher.publish(&table, 13, at(1_300), at(1_300));
+    publisher.publish(&table, version(13), at(1_300), at(1_300));
     let mut answers = publisher.query(2, query(Some(&first), 10, 0), at(1_400));
     answers.extend(publisher.query(3, query(None, 0, 0), at(1_400)));
     let known = answers[0].1.clone();
     publisher.publish(
         &rows(&[("a", &large), ("c", "2")]),
-        14,
+        version(14),
         at(1_500),
         at(1_500),
     );
@@ -428,9 +450,22 @@
 #[test]
 fn rows_of_a_lower_version_are_not_published() {
     let (mut publisher, first) = published();
-    publisher.publish(&rows(&[("a", "1")]), 11, at(1_250), at(1_250));
+    publisher.publish(&rows(&[("a", "1")]), version(11), at(1_250), at(1_250));
     let news = publisher.query(2, query(Some(&first), 10, 0), at(1_300));
-    assert_eq!(news[0].1.as_ref().unwrap().version, 12);
+    assert_eq!(news[0].1.as_ref().unwrap().version, version(12));
+}
+
+/// Hosts that read tables from others kept the rows from before a restore: those after it, of a lower
+/// counter, were taken for older ones.
+#[test]
+fn rows_of_a_restored_store_replace_newer_ones_of_the_era_before() {
+    let (mut publisher, first) = published();
+    let restored = StoreVersion::new(1, 4);
+    publisher.publish(&rows(&[("a", "1")]), restored, at(1_250), at(1_250));
+    // A late answer from before the restore.
+    publisher.publish(&rows(&[("a", "2")]), version(13), at(1_260), at(1_260));
+    let news = publisher.query(2, query(Some(&first), 12, 0), at(1_300));
+    insta::assert_snapshot!(format!("{news:?}"));
 }
 
 #[test]
--- a/crates/peers/src/relay/tables.rs
+++ b/crates/peers/src/relay/tables.rs
@@ -13,7 +13,7 @@
 use flume::{Receiver, Sender};
 use goldcrest_clock::Clock;
 use goldcrest_decide::tables::{Answers, Publisher, QueryId};
-use goldcrest_types::{Name, TableQuery, TableReply, Timestamp};
+use goldcrest_types::{Name, StoreVersion, TableQuery, TableReply, Timestamp};
 use spdlog::debug;
 
 use super::{
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub enum PublisherInput {
     /// The rows of a version of the store, and when the store confirmed them.
-    Rows(Arc<BTreeMap<Name, Bytes>>, u64, Timestamp),
+    Rows(Arc<BTreeMap<Name, Bytes>>, StoreVersion, Timestamp),
     /// A query of another host.
     Query(TableQuery, Sender<Option<TableReply>>),
 }
--- a/crates/types/src/table.rs
+++ b/crates/types/src/table.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::Name;
+use crate::{Name, StoreVersion};
 
 /// A state of a table at the host that publishes it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,7 +22,7 @@
     /// The state that is known already. `None` asks for the whole table.
     pub known: Option<TableCursor>,
     /// The lowest version of the store whose rows are wanted.
-    pub version: u64,
+    pub version: StoreVersion,
     /// How long the publisher may wait for news.
     pub wait: Duration,
 }
@@ -44,7 +44,7 @@
     /// The state after the update.
     pub cursor: TableCursor,
     /// The version of the store that the rows are of.
-    pub version: u64,
+    pub version: StoreVersion,
     /// How long ago the store confirmed that the rows are current.
     pub age: Duration,
     /// The difference to the known state.
