A replica that discovery dropped counts for a promotion until its commits are covered

Cause: survey_quorum counts the replicas that are listed at the moment. One that had acknowledged commits left the list 0.14 s before the lagging one was paused and promoted alone. Ruled out: the earlier promotion and the pauses, which held.

Change: a dropped replica is remembered (fenced::absent) until it is listed again, or until the chosen replica holds a position of the leader's log that was requested after the drop. A survey pauses replicas only if it can end with a promotion.

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -129,6 +129,7 @@
             return;
         }
         self.samples.record(requested_at, mark);
+        self.record_absent_marks(requested_at, mark);
         if let Some(member) = self.member_mut(endpoint) {
             member.denied_at = None;
         }
--- a/crates/decide/src/fenced/dispatch.rs
+++ b/crates/decide/src/fenced/dispatch.rs
@@ -285,7 +285,8 @@
     /// Searches for the leader while none is known, and samples its position while replicas serve
     /// reads.
     pub(super) fn probe_leader(&mut self, now: Timestamp, out: &mut Actions) {
-        if !self.has_demand(now) {
+        let absent = self.absent_wake().is_some_and(|at| at <= now);
+        if !self.has_demand(now) && !absent {
             return;
         }
         if self.needs_search(now) && now.since(self.last_search) >= SEARCH_INTERVAL {
@@ -302,7 +303,7 @@
         } else {
             SAMPLE_INTERVAL
         };
-        let old = self.needs_sample() || age >= SAMPLE_INTERVAL;
+        let old = self.needs_sample() || absent || age >= SAMPLE_INTERVAL;
         if old && now.since(self.last_sample) >= pause {
             self.last_sample = now;
             self.probe(leader, now, out);
--- a/crates/decide/src/fenced/membership.rs
+++ b/crates/decide/src/fenced/membership.rs
@@ -29,12 +29,17 @@
         for ix in restarted {
             self.remove_member(ix, now, out);
         }
-        for member in &mut self.members {
-            if !discovered.iter().any(|p| p.name == member.info.name) {
-                member.unlist(now);
-            }
+        let dropped: SmallVec<[EndpointIx; 4]> = self
+            .members
+            .iter()
+            .filter(|m| !discovered.iter().any(|p| p.name == m.info.name))
+            .map(|m| m.ix)
+            .collect();
+        for ix in dropped {
+            self.unlist(ix, now);
         }
         for info in discovered {
+            self.record_present(&info.name);
             let known = self.members.iter_mut().find(|m| m.info.name == info.name);
             match known {
                 Some(member) => member.update(info, now),
@@ -43,6 +48,18 @@
         }
     }
 
+    /// Records that discovery does not list an endpoint.
+    fn unlist(&mut self, ix: EndpointIx, now: Timestamp) {
+        let Some(member) = self.member_mut(ix) else {
+            return;
+        };
+        let listed = !member.unlisted;
+        member.unlist(now);
+        if listed {
+            self.record_absent(ix, now);
+        }
+    }
+
     fn add_member(&mut self, info: MemberInfo, now: Timestamp) {
         let ix = EndpointIx(self.next_member);
         self.next_member = self.next_member.wrapping_add(1);
--- a/crates/decide/src/fenced/mod.rs
+++ b/crates/decide/src/fenced/mod.rs
@@ -5,6 +5,7 @@
 //! success is therefore final and needs no acknowledgement by a majority. [`FencedGroup::step`]
 //! takes an event and returns the actions to carry out.
 
+mod absent;
 mod answers;
 mod closing;
 mod dispatch;
@@ -29,16 +30,16 @@
 };
 use smallvec::SmallVec;
 
+use self::{
+    absent::Absent, hopeless::ServiceRate, members::ConnectionState, requests::ABANDONED_LIMIT,
+    samples::Samples, succession::Succession,
+};
 pub use self::{
     events::{Action, Actions, Assignment, Event, Eviction, MemberInfo},
     hopeless::Estimate,
     members::Member,
     succession::LEASE_USE,
 };
-use self::{
-    hopeless::ServiceRate, members::ConnectionState, requests::ABANDONED_LIMIT, samples::Samples,
-    succession::Succession,
-};
 use crate::retry::RetryBudget;
 
 /// Interval between samples of the leader's position while replicas serve reads. A third of the
@@ -194,6 +195,8 @@
     replaces_leaving: bool,
     /// Replicas that have received a commit before it is acknowledged.
     sync_replicas: usize,
+    /// Replicas that discovery has dropped and that may hold commits which no listed one holds.
+    absent: SmallVec<[Absent; 2]>,
     budget: RetryBudget,
     /// Moving average of the time that a database's statements take at an endpoint.
     costs: BTreeMap<Name, Duration>,
@@ -231,6 +234,7 @@
             settling: 1,
             replaces_leaving: true,
             sync_replicas: 0,
+            absent: SmallVec::new(),
             budget: RetryBudget::new(),
             costs: BTreeMap::new(),
             rates: <[ServiceRate; 2]>::default(),
@@ -305,6 +309,9 @@
         if self.needs_search(now) && self.has_demand(now) {
             wake = wake.min(self.last_search + SEARCH_INTERVAL);
         }
+        if let Some(at) = self.absent_wake() {
+            wake = wake.min(at);
+        }
         if let Some(at) = self.succession_wake(now) {
             wake = wake.min(at);
         }
--- a/crates/decide/src/fenced/survey.rs
+++ b/crates/decide/src/fenced/survey.rs
@@ -2,7 +2,8 @@
 //!
 //! Where commits are replicated synchronously, a commit may be acknowledged until no replica receives
 //! any more. The replicas are therefore paused before their positions count. With `n` replicas of
-//! which `k` must receive each commit, any `n - k + 1` of them include one that has them all.
+//! which `k` must receive each commit, any `n - k + 1` of them include one that has them all. A replica that
+//! discovery has dropped may be the one: its commits must be covered, too.
 
 use std::time::Duration;
 
@@ -176,6 +177,7 @@
                 .is_some_and(|m| m.leaving_since.is_none());
             (r.status.held, ordered, stays)
         });
+        let best = best.filter(|r| self.covers_absent(r.status.held));
         best.map(|r| r.endpoint)
     }
 
@@ -198,7 +200,7 @@
         self.members.iter().filter(move |m| !leads(m))
     }
 
-    fn is_replica(&self, endpoint: EndpointIx) -> bool {
+    pub(super) fn is_replica(&self, endpoint: EndpointIx) -> bool {
         self.replicas().any(|m| m.ix == endpoint)
     }
 
@@ -207,13 +209,16 @@
         self.replicas().count().saturating_sub(self.sync_replicas) + 1
     }
 
-    /// Whether replicas may be paused: enough of them respond, and a leader that shuts down has had
-    /// the time to step down and to send its log.
+    /// Whether replicas may be paused: enough of them respond, one holds what absent ones may have
+    /// acknowledged, and a leader that shuts down has had the time to step down and to send its log.
     fn may_pause(&self, survey: &Survey, now: Timestamp) -> bool {
         let responding = survey.replicas().filter(|r| self.is_replica(r.endpoint));
         let planned = matches!(self.succession.reason, Reason::Planned(..));
         let due = !planned || now.since(self.succession.since) >= CATCH_UP_LIMIT;
-        self.sync_replicas > 0 && due && responding.count() >= self.survey_quorum()
+        // A paused replica never reaches what it lacks.
+        let best = survey.replicas().map(|r| r.status.held).max();
+        let covers = best.is_some_and(|held| self.covers_absent(held));
+        self.sync_replicas > 0 && due && covers && responding.count() >= self.survey_quorum()
     }
 
     /// Requests the log positions of the candidates, after ordering a leader that shuts down to
--- a/crates/decide/tests/fenced_group/mod.rs
+++ b/crates/decide/tests/fenced_group/mod.rs
@@ -75,7 +75,11 @@
 
 /// Makes the leader unresponsive for long enough to be suspected, while replicas answer.
 pub fn suspected() -> Harness {
-    let mut harness = ready();
+    fail_leader(ready())
+}
+
+/// Makes the leader unresponsive until this host claims the lease.
+pub fn fail_leader(mut harness: Harness) -> Harness {
     harness.write(2);
     harness.notice(0, ConnectionNotice::Closed(Some((RequestId(2), true))));
     harness.write(3);
--- a/crates/decide/tests/fenced_group/synchronous.rs
+++ b/crates/decide/tests/fenced_group/synchronous.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use goldcrest_decide::fenced::{Action, Assignment, Event, FencedGroup, GroupConfig};
+use goldcrest_decide::fenced::{Action, Assignment, Event, FencedGroup, GroupConfig, MemberInfo};
 use goldcrest_types::{
     Claim, ConnectionId, ConnectionNotice, EndpointIx, Kind, Mark, Name, OpenError,
     ReplicationStatus, RequestId, Role, StatementResult, StoreError, StoreNotice,
@@ -19,6 +19,9 @@
 /// When the simulation ends, in milliseconds.
 const END_MS: u64 = 12_000;
 
+/// How long discovery lists an endpoint that is down, in milliseconds.
+const LISTED_MS: u64 = 3_600;
+
 /// Pause between two writes of the host's own clients, in milliseconds.
 const WRITE_PAUSE_MS: u64 = 100;
 
@@ -33,6 +36,9 @@
     pub unreachable: bool,
     /// Whether the first order gets no answer and is carried out late.
     pub late_order: bool,
+    /// Whether one replica receives nothing for a while, and the other one is down for so long that
+    /// discovery drops it.
+    pub dropped: bool,
 }
 
 /// A message that arrives at a given time.
@@ -41,7 +47,7 @@
     Command(ConnectionId, usize, Command),
     Notice(ConnectionId, ConnectionNotice),
     Store(StoreNotice),
-    Order(usize, u64),
+    Order(EndpointIx, u64),
 }
 
 #[derive(Clone, Copy)]
@@ -53,6 +59,12 @@
     Run(RequestId),
 }
 
+/// The endpoint that the host knows by an index. The near replica gets another one when it comes back.
+fn endpoint_at(ix: EndpointIx) -> usize {
+    let index = usize::from(ix.0);
+    if index < ENDPOINTS { index } else { 1 }
+}
+
 /// The group, the host and the messages between them.
 pub struct World {
     rule: Rule,
@@ -75,6 +87,10 @@
     orders: u64,
     /// Until when the host can't reach each endpoint.
     cut_until: [u64; ENDPOINTS],
+    /// Until when each endpoint receives nothing.
+    deaf_until: [u64; ENDPOINTS],
+    /// From when to when the near replica is down.
+    down: (u64, u64),
     pub promotions: u32,
     pub lost: u64,
     /// Writes of the host's clients that were answered.
@@ -89,6 +105,12 @@
         if rule.unreachable {
             cut_until[2] = rng.random_range(1_000..4_000);
         }
+        let (mut deaf_until, mut down) = ([0; ENDPOINTS], (u64::MAX, u64::MAX));
+        if rule.dropped {
+            deaf_until[2] = rng.random_range(7_000..9_000);
+            let crash = rng.random_range(300..2_000);
+            down = (crash, rng.random_range(8_000..10_000));
+        }
         let host = FencedGroup::new(GroupConfig {
             name: Name::from("orders"),
             share: 3,
@@ -113,6 +135,8 @@
             claims: 0,
             orders: 0,
             cut_until,
+            deaf_until,
+            down,
             promotions: 0,
             lost: 0,
             served: 0,
@@ -127,7 +151,7 @@
             member("far", 12, false),
         ];
         listed[1].leaving = self.rule.leaving;
-        self.step(Event::Members(listed.into()));
+        self.step(Event::Members(listed.clone().into()));
         self.step(Event::Assign(Assignment {
             connections: 3,
             borrowable: 0,
@@ -137,6 +161,7 @@
         }));
         while self.now < END_MS {
             self.now += 1;
+            self.crash_and_return(&mut listed);
             self.replicate();
             let due: Vec<_> = self.messages.extract_if(.., |m| m.0 <= self.now).collect();
             for (_, message) in due {
@@ -152,6 +177,37 @@
         }
     }
 
+    /// Has the near replica crash, leave the list, and come back with its log.
+    fn crash_and_return(&mut self, listed: &mut [MemberInfo]) {
+        let (from, to) = self.down;
+        if self.now == from {
+            let lost = self.connections.extract_if(.., |(_, e)| *e == 1);
+            let lost: Vec<ConnectionId> = lost.map(|(id, _)| id).collect();
+            for id in lost {
+                self.send(Message::Notice(id, ConnectionNotice::Closed(None)));
+            }
+        }
+        if self.now == from.saturating_add(LISTED_MS) {
+            let rest = vec![listed[0].clone(), listed[2].clone()];
+            self.step(Event::Members(rest.into()));
+        }
+        if self.now == to {
+            listed[1].incarnation += 1;
+            self.paused[1] = None;
+            self.step(Event::Members(listed.to_vec().into()));
+        }
+    }
+
+    fn is_down(&self, endpoint: usize) -> bool {
+        endpoint == 1 && (self.down.0..self.down.1).contains(&self.now)
+    }
+
+    /// Whether an endpoint receives the log of the leader.
+    fn receives(&self, endpoint: usize) -> bool {
+        let deaf = self.now < self.deaf_until[endpoint];
+        !deaf && !self.is_down(endpoint) && self.paused[endpoint].is_none()
+    }
+
     /// Commits an entry, receives what has arrived, and acknowledges what one replica holds.
     fn replicate(&mut self) {
         let mut arrival = [self.now; ENDPOINTS];
@@ -167,7 +223,7 @@
                 self.length[endpoint] = written;
                 continue;
             }
-            while self.paused[endpoint].is_none() && self.has_arrived(endpoint) {
+            while self.receives(endpoint) && self.has_arrived(endpoint) {
                 self.length[endpoint] += 1;
             }
         }
@@ -200,9 +256,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Open(id, EndpointIx(ix), _) => {
-                self.connections.push((id, usize::from(ix)));
-                self.send(Message::Open(id, usize::from(ix)));
+            Action::Open(id, ix, _) => {
+                self.connections.push((id, endpoint_at(ix)));
+                self.send(Message::Open(id, endpoint_at(ix)));
             }
             Action::Close(id) => self.connections.retain(|(open, _)| *open != id),
             Action::Probe(id) => self.command(id, Command::Probe),
@@ -221,7 +277,7 @@
             }
             Action::Succession(SuccessionCommand::Promote {
                 endpoint, claim, ..
-            }) => self.order(usize::from(endpoint.0), claim.token),
+            }) => self.order(endpoint, claim.token),
             _ => {}
         }
     }
@@ -235,16 +291,15 @@
 
     /// Sends an order to the platform. A late one is carried out seconds later, if its token is still
     /// the newest.
-    fn order(&mut self, endpoint: usize, token: u64) {
+    fn order(&mut self, ix: EndpointIx, token: u64) {
         self.orders += 1;
         if self.rule.late_order && self.orders == 1 {
             let late = self.now + self.rng.random_range(300..4_000);
-            self.messages.push((late, Message::Order(endpoint, token)));
-            let ix = EndpointIx(u16::try_from(endpoint).unwrap_or(u16::MAX));
+            self.messages.push((late, Message::Order(ix, token)));
             let lost = StoreNotice::Promoted(ix, Err(StoreError::Unknown));
             return self.messages.push((self.now + 400, Message::Store(lost)));
         }
-        self.send(Message::Order(endpoint, token));
+        self.send(Message::Order(ix, token));
     }
 
     fn deliver(&mut self, message: Message) {
@@ -263,12 +318,12 @@
             }
             Message::Notice(id, notice) => self.step(Event::Connection(id, notice)),
             Message::Store(notice) => self.step(Event::Store(notice)),
-            Message::Order(endpoint, token) => self.promote(endpoint, token),
+            Message::Order(ix, token) => self.promote(ix, token),
         }
     }
 
     fn is_cut(&self, endpoint: usize) -> bool {
-        self.now < self.cut_until[endpoint]
+        self.now < self.cut_until[endpoint] || self.is_down(endpoint)
     }
 
     fn mark(&self, endpoint: usize) -> Mark {
@@ -277,7 +332,7 @@
 
     /// Whether no replica receives, so that no write is acknowledged.
     fn is_stalled(&self) -> bool {
-        (0..ENDPOINTS).all(|e| e == self.leader || self.paused[e].is_some())
+        (0..ENDPOINTS).all(|e| e == self.leader || !self.receives(e))
     }
 
     /// Whether a replica is paused.
@@ -287,6 +342,9 @@
 
     /// The endpoint's answer. A write that is not acknowledged has none.
     fn answer(&mut self, endpoint: usize, command: Command) -> Option<ConnectionNotice> {
+        if self.is_down(endpoint) {
+            return None;
+        }
         let leads = endpoint == self.leader;
         Some(match command {
             Command::Run(_) if leads && self.is_stalled() => return None,
@@ -337,8 +395,8 @@
 
     /// Promotes an endpoint with what it has received, and counts the acknowledged entries that it
     /// lacks.
-    fn promote(&mut self, endpoint: usize, token: u64) {
-        let ix = EndpointIx(u16::try_from(endpoint).unwrap_or(u16::MAX));
+    fn promote(&mut self, ix: EndpointIx, token: u64) {
+        let endpoint = endpoint_at(ix);
         if token < self.newest_token {
             let fenced = StoreNotice::Promoted(ix, Err(StoreError::Outrun));
             return self.send(Message::Store(fenced));
--- a/crates/decide/tests/synchronous.rs
+++ b/crates/decide/tests/synchronous.rs
@@ -3,7 +3,7 @@
 mod fenced_group;
 
 use fenced_group::{
-    Harness, claim, member, ready, report, status, suspected,
+    Harness, claim, fail_leader, member, ready, report, status, suspected,
     synchronous::{Rule, World},
 };
 use goldcrest_decide::fenced::{Assignment, Event};
@@ -108,6 +108,45 @@
     insta::assert_snapshot!(harness.log());
 }
 
+/// A lagging replica was promoted once discovery had dropped the one that had acknowledged the last commits.
+#[rstest]
+#[case::no_later_position("no_later_position", None, 45, false)]
+#[case::behind("behind", Some(41), 40, false)]
+#[case::caught_up("caught_up", Some(41), 41, false)]
+#[case::listed_again("listed_again", None, 40, true)]
+fn a_replica_that_discovery_dropped_counts_until_its_commits_are_covered(
+    #[case] name: &str,
+    #[case] leader_reached: Option<u64>,
+    #[case] far_holds: u64,
+    #[case] returns: bool,
+) {
+    let mut harness = synchronous(ready());
+    harness.set_members(vec![member("leader", 12, true), member("far", 12, false)]);
+    harness.wait(500);
+    if let Some(reached) = leader_reached {
+        harness.probed(0, Some(Mark::new(1, reached)));
+    }
+    let mut harness = fail_leader(harness);
+    harness.event("claimed", Event::Store(StoreNotice::Claimed(Ok(claim()))));
+    let far = connection_to(&harness, 2);
+    harness.opened(far);
+    harness.wait(60);
+    if returns {
+        let near = member("near", 1, false);
+        harness.set_members(vec![
+            member("leader", 12, true),
+            near,
+            member("far", 12, false),
+        ]);
+    }
+    harness.clear_log();
+    harness.notice(far, report(Role::Replica, Mark::new(1, far_holds)));
+    harness.wait(60);
+    harness.notice(far, paused(2, Mark::new(1, far_holds)));
+    harness.wait(60);
+    insta::assert_snapshot!(format!("dropped_{name}"), harness.log());
+}
+
 #[test]
 fn replicas_receive_again_after_a_survey_without_a_result() {
     let (mut harness, _) = pausing();
@@ -187,6 +226,7 @@
     leaving: false,
     unreachable: false,
     late_order: false,
+    dropped: false,
 };
 
 #[rstest]
@@ -194,6 +234,7 @@
 #[case::leaving(Rule { leaving: true, ..RULE })]
 #[case::unreachable(Rule { unreachable: true, ..RULE })]
 #[case::late_order(Rule { late_order: true, ..RULE })]
+#[case::dropped(Rule { dropped: true, ..RULE })]
 #[case::all(Rule { leaving: true, unreachable: true, late_order: true, ..RULE })]
 fn no_acknowledged_commit_is_lost_by_a_promotion(#[case] rule: Rule) {
     assert_eq!(play(rule), 0);
