A leader counts as stepped down only once it has led in the survey and led no more

Cause: a host without a sample of the present leader ordered it to step down at term 1. The leader, at term 3, ignored that and reported that it led; any report of it counted as the proof, and its position as the last one. Ruled out: the choice among the replicas and the fence.

Change: a report that it leads only raises the term of the next order. Where commits must not be lost, a leader is asked first, and has stepped down if it led in this survey and is a replica then; a report counts only for the survey that asked for it.

--- a/crates/decide/src/fenced/answers.rs
+++ b/crates/decide/src/fenced/answers.rs
@@ -42,10 +42,12 @@
             }
             ConnectionNotice::RolledBack => self.set_state(from, ConnectionState::Idle(now)),
             ConnectionNotice::Reported(status) => {
+                let status = status.filter(|_| self.counts_for_survey(from));
                 self.set_state(from, ConnectionState::Idle(now));
                 self.record_report(endpoint, status, None, now);
             }
             ConnectionNotice::Paused(term, status) => {
+                let status = status.filter(|_| self.counts_for_survey(from));
                 self.set_state(from, ConnectionState::Idle(now));
                 self.record_report(endpoint, status, Some(term), now);
             }
@@ -101,10 +103,7 @@
         now: Timestamp,
         out: &mut Actions,
     ) {
-        let requested_at = self.connection(connection).and_then(|c| match c.state {
-            ConnectionState::Internal(requested_at) => Some(requested_at),
-            _ => None,
-        });
+        let requested_at = self.requested_at(connection);
         self.set_state(connection, ConnectionState::Idle(now));
         if let Some(member) = self.member_mut(endpoint) {
             member.record_success(mark);
@@ -151,6 +150,14 @@
         }
     }
 
+    /// Returns when the group's own query on a connection was sent.
+    pub(super) fn requested_at(&self, connection: ConnectionId) -> Option<Timestamp> {
+        match self.connection(connection)?.state {
+            ConnectionState::Internal(requested_at) => Some(requested_at),
+            _ => None,
+        }
+    }
+
     pub(super) fn connection(&self, id: ConnectionId) -> Option<&Connection> {
         let mut connections = self.members.iter().flat_map(|m| m.connections.iter());
         connections.find(|c| c.id == id)
--- a/crates/decide/src/fenced/survey.rs
+++ b/crates/decide/src/fenced/survey.rs
@@ -47,9 +47,10 @@
     pub last_query: Timestamp,
     first_report: Option<Timestamp>,
     reports: SmallVec<[Report; 4]>,
+    /// Whether the leader that is to step down has reported that it leads.
+    led: bool,
     /// Log position of the leader when it stepped down.
     leader_mark: Option<Mark>,
-    stepped_down: bool,
 }
 
 impl Survey {
@@ -59,8 +60,8 @@
             last_query: Timestamp::ZERO,
             first_report: None,
             reports: SmallVec::new(),
+            led: false,
             leader_mark: None,
-            stepped_down: false,
         }
     }
 
@@ -230,13 +231,17 @@
             return;
         };
         survey.last_query = now;
-        let step_down = match reason {
-            Reason::Planned(ix, term) if !survey.stepped_down => Some((ix, term)),
-            _ => None,
-        };
-        if let Some((ix, term)) = step_down {
+        if let Reason::Planned(ix, term) = reason
+            && survey.leader_mark.is_none()
+        {
+            // Where commits must not be lost, only one that led before can be shown to step down.
+            let may_step_down = survey.led || self.sync_replicas == 0;
             self.send_query(ix, now, out, |connection| {
-                Action::StepDown(connection, term)
+                if may_step_down {
+                    Action::StepDown(connection, term)
+                } else {
+                    Action::Report(connection)
+                }
             });
         }
         let Stage::Surveying(survey) = &self.succession.stage else {
@@ -307,8 +312,15 @@
         idle.is_some()
     }
 
-    /// Records a report of the survey. One of the leader in a planned switchover shows that it has
-    /// stepped down. `paused_at` is the term of the pause command that the endpoint answered.
+    /// Whether a report on a connection counts for the present survey. Where commits must not be lost, it has
+    /// to answer a query of this survey: the endpoint may have led since it answered an earlier one.
+    pub(super) fn counts_for_survey(&self, connection: ConnectionId) -> bool {
+        let asked = self.requested_at(connection);
+        self.sync_replicas == 0 || asked.is_some_and(|at| at >= self.succession.since)
+    }
+
+    /// Records a report of the survey. `paused_at` is the term of the pause command that the endpoint
+    /// answered.
     pub(super) fn record_report(
         &mut self,
         endpoint: EndpointIx,
@@ -321,9 +333,25 @@
             return;
         };
         let Some(status) = status else { return };
-        if matches!(reason, Reason::Planned(ix, _) if ix == endpoint) {
-            survey.stepped_down = true;
-            survey.leader_mark = Some(status.held);
+        if let Reason::Planned(ix, term) = reason
+            && ix == endpoint
+        {
+            match status.role {
+                // It ignores a command to step down at a term that is not above its own.
+                Role::Primary => {
+                    let next = term.max(status.term.next());
+                    self.succession.reason = Reason::Planned(ix, next);
+                    if !survey.led || next > term {
+                        survey.last_query = Timestamp::ZERO;
+                    }
+                    survey.led = true;
+                }
+                Role::Replica if survey.led || self.sync_replicas == 0 => {
+                    survey.leader_mark = Some(status.held);
+                }
+                // It may have been a replica all the time, while another endpoint leads.
+                Role::Replica => {}
+            }
             return;
         }
         // An endpoint ignores a pause at a term that is not above all it knows.
--- a/crates/decide/tests/fenced_group/synchronous.rs
+++ b/crates/decide/tests/fenced_group/synchronous.rs
@@ -36,9 +36,17 @@
     pub unreachable: bool,
     /// Whether the first order gets no answer and is carried out late.
     pub late_order: bool,
-    /// Whether one replica receives nothing for a while, and the other one is down for so long that
-    /// discovery drops it.
-    pub dropped: bool,
+    /// Which endpoints discovery lists.
+    pub listing: Listing,
+}
+
+/// Which endpoints discovery lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// All of them, all the time.
+    Complete,
+    /// One replica receives nothing for a while, and the other one is down for so long that it is dropped.
+    DropsReplica,
 }
 
 /// A message that arrives at a given time.
@@ -106,7 +114,7 @@
             cut_until[2] = rng.random_range(1_000..4_000);
         }
         let (mut deaf_until, mut down) = ([0; ENDPOINTS], (u64::MAX, u64::MAX));
-        if rule.dropped {
+        if rule.listing == Listing::DropsReplica {
             deaf_until[2] = rng.random_range(7_000..9_000);
             let crash = rng.random_range(300..2_000);
             down = (crash, rng.random_range(8_000..10_000));
--- a/crates/decide/tests/synchronous.rs
+++ b/crates/decide/tests/synchronous.rs
@@ -4,7 +4,7 @@
 
 use fenced_group::{
     Harness, claim, fail_leader, member, ready, report, status, suspected,
-    synchronous::{Rule, World},
+    synchronous::{Listing, Rule, World},
 };
 use goldcrest_decide::fenced::{Assignment, Event};
 use goldcrest_types::{ConnectionNotice, EndpointIx, Mark, Role, StoreError, StoreNotice, Term};
@@ -189,6 +189,7 @@
     harness.opened(far);
     harness.clear_log();
     if steps_down {
+        harness.notice(0, report(Role::Primary, Mark::new(1, 12)));
         harness.notice(0, report(Role::Replica, Mark::new(1, 12)));
     }
     harness.notice(1, report(Role::Replica, Mark::new(1, 11)));
@@ -206,6 +207,75 @@
     insta::assert_snapshot!(format!("planned_{name}"), harness.log());
 }
 
+/// A planned switchover under a claimed lease: the leader is asked first, and far has a connection.
+fn switching_over() -> (Harness, u64) {
+    let mut harness = synchronous(ready());
+    let mut leaving = member("leader", 12, true);
+    leaving.leaving = true;
+    harness.set_members(vec![
+        leaving,
+        member("near", 1, false),
+        member("far", 12, false),
+    ]);
+    harness.event("claimed", Event::Store(StoreNotice::Claimed(Ok(claim()))));
+    let far = connection_to(&harness, 2);
+    harness.opened(far);
+    harness.clear_log();
+    (harness, far)
+}
+
+/// A leader's status at a term that this host has not seen.
+fn leads_at(term: u64, held: Mark) -> ConnectionNotice {
+    let mut leading = status(Role::Primary, held);
+    leading.term = Term(term);
+    ConnectionNotice::Reported(Some(leading))
+}
+
+/// A leader ignored the command to step down, at a term that was not above its own, and its answer was taken
+/// for the proof that it had. What it acknowledged from then on was lost.
+#[test]
+fn a_leader_that_goes_on_leading_is_not_taken_for_stepped_down() {
+    let (mut harness, _) = switching_over();
+    harness.notice(0, leads_at(3, Mark::new(3, 12)));
+    harness.notice(1, report(Role::Replica, Mark::new(3, 12)));
+    harness.wait(60);
+    harness.notice(0, leads_at(3, Mark::new(3, 13)));
+    harness.notice(1, report(Role::Replica, Mark::new(3, 13)));
+    harness.wait(60);
+    let log = harness.log();
+    assert!(!log.contains("Promote"), "{log}");
+    harness.notice(0, report(Role::Replica, Mark::new(3, 14)));
+    harness.notice(1, report(Role::Replica, Mark::new(3, 14)));
+    insta::assert_snapshot!(harness.log());
+}
+
+/// A host that had not seen the present leader took a lagging replica's log for the last leader's.
+#[test]
+fn a_replica_that_was_taken_for_the_leader_shows_nothing() {
+    let (mut harness, _) = switching_over();
+    harness.notice(0, report(Role::Replica, Mark::new(1, 12)));
+    harness.notice(1, report(Role::Replica, Mark::new(1, 12)));
+    harness.wait(60);
+    let log = harness.log();
+    assert!(!log.contains("Promote"), "{log}");
+}
+
+/// The leader had led again, and acknowledged more, since it gave the answer.
+#[test]
+fn an_answer_from_an_earlier_survey_shows_nothing() {
+    let (mut harness, _) = switching_over();
+    harness.notice(0, report(Role::Primary, Mark::new(1, 12)));
+    // The answer to the command to step down comes only in the next survey.
+    harness.wait(3_000);
+    harness.event("claimed", Event::Store(StoreNotice::Claimed(Ok(claim()))));
+    harness.clear_log();
+    harness.notice(0, report(Role::Replica, Mark::new(1, 12)));
+    harness.notice(1, report(Role::Replica, Mark::new(1, 12)));
+    harness.wait(60);
+    let log = harness.log();
+    assert!(!log.contains("Promote"), "{log}");
+}
+
 /// What a group with one synchronous replica loses in 200 runs.
 fn play(rule: Rule) -> u64 {
     let (mut lost, mut faulty) = (0, Vec::new());
@@ -226,7 +296,7 @@
     leaving: false,
     unreachable: false,
     late_order: false,
-    dropped: false,
+    listing: Listing::Complete,
 };
 
 #[rstest]
@@ -234,7 +304,7 @@
 #[case::leaving(Rule { leaving: true, ..RULE })]
 #[case::unreachable(Rule { unreachable: true, ..RULE })]
 #[case::late_order(Rule { late_order: true, ..RULE })]
-#[case::dropped(Rule { dropped: true, ..RULE })]
+#[case::dropped(Rule { listing: Listing::DropsReplica, ..RULE })]
 #[case::all(Rule { leaving: true, unreachable: true, late_order: true, ..RULE })]
 fn no_acknowledged_commit_is_lost_by_a_promotion(#[case] rule: Rule) {
     assert_eq!(play(rule), 0);
