--- a/crates/decide/src/fenced/absent.rs
+++ b/crates/decide/src/fenced/absent.rs
@@ -26,10 +26,9 @@
         let Some(name) = self.member(endpoint).map(|m| m.name().clone()) else {
             return;
         };
-        let since = now;
         self.absent.push(Absent {
             name,
-            since,
+            since: now,
             mark: None,
         });
     }
--- a/crates/decide/tests/synchronous.rs
+++ b/crates/decide/tests/synchronous.rs
@@ -176,18 +176,7 @@
 #[case::caught_up("caught_up", true)]
 #[case::silent("silent", false)]
 fn a_planned_switchover_loses_no_commit(#[case] name: &str, #[case] steps_down: bool) {
-    let mut harness = synchronous(ready());
-    let mut leaving = member("leader", 12, true);
-    leaving.leaving = true;
-    harness.set_members(vec![
-        leaving,
-        member("near", 1, false),
-        member("far", 12, false),
-    ]);
-    harness.event("claimed", Event::Store(StoreNotice::Claimed(Ok(claim()))));
-    let far = connection_to(&harness, 2);
-    harness.opened(far);
-    harness.clear_log();
+    let (mut harness, far) = switching_over();
     if steps_down {
         harness.notice(0, report(Role::Primary, Mark::new(1, 12)));
         harness.notice(0, report(Role::Replica, Mark::new(1, 12)));
