--- a/crates/fenced/src/decision_log.rs
+++ b/crates/fenced/src/decision_log.rs
@@ -11,7 +11,7 @@
     concurrency::Limit,
     fenced::{Eviction, FencedGroup, Member},
 };
-use goldcrest_observe::RateLimiter;
+use goldcrest_observe::{RateLimiter, excerpt};
 use goldcrest_types::{
     EndpointIx, Mark, Name, Refusal, ReplicationStatus, Statement, Timestamp, Verdict,
 };
@@ -99,7 +99,7 @@
         let (waiting, running) = group.load();
         let estimate = group.last_estimate().filter(|e| e.request == head.id);
         info!("request refused: {}", refusal, kv: {
-            request = statement.label.as_str(),
+            request = excerpt(&statement.label),
             service = group.config().name.as_str(),
             workspace = head.workspace.as_str(),
             database = head.database.as_str(),
@@ -142,7 +142,7 @@
         };
         let (waiting, running) = group.load();
         info!("{}", what, kv: {
-            request = request.statement.label.as_str(),
+            request = excerpt(&request.statement.label),
             service = group.config().name.as_str(),
             workspace = head.workspace.as_str(),
             database = head.database.as_str(),
@@ -207,7 +207,7 @@
         };
         let head = &relayed.statement.head;
         info!("relayed request refused: {}", refusal, kv: {
-            request = relayed.statement.label.as_str(),
+            request = excerpt(&relayed.statement.label),
             service = relayed.service,
             workspace = head.workspace.as_str(),
             database = head.database.as_str(),
