What connections to endpoints remember counts for the host's memory

Cause: a connection remembers the settings in force with their whole texts, also of sessions that have ended, and nothing counted them. Ruled out: read buffers, as one name for all statements stays small.

Change: the budget counts what connections remember, in a part of its own. One that gets no room forgets it and is reset before its next statement; within a transaction it goes on remembering.

--- a/crates/decide/src/budget/mod.rs
+++ b/crates/decide/src/budget/mod.rs
@@ -172,12 +172,14 @@
         true
     }
 
-    /// Keeps values and prepared statements of a session. Returns false if there is no room for them.
-    pub fn keep(&mut self, id: HolderId, bytes: usize) -> bool {
-        let Some(charge) = charge(Use::Kept, bytes) else {
+    /// Keeps bytes between messages, in place of those that were kept for this purpose before. Returns false
+    /// if there is no room for them.
+    pub fn keep(&mut self, id: HolderId, purpose: Use, bytes: usize) -> bool {
+        let Some(charge) = charge(purpose, bytes) else {
+            self.replace(id, purpose, None);
             return true;
         };
-        self.grant(id, Use::Kept, charge)
+        self.grant(id, purpose, charge)
     }
 
     /// Notes that the message of a client is complete and runs.
@@ -226,7 +228,7 @@
     /// Removes a connection.
     pub fn remove(&mut self, id: HolderId) -> Decisions {
         self.waiting.retain(|waiting| waiting.id != id);
-        for purpose in [Use::Message, Use::Answer, Use::Kept] {
+        for purpose in Use::ALL {
             self.replace(id, purpose, None);
         }
         if let Some(holder) = self.holders.remove(&id)
@@ -314,7 +316,7 @@
         holder.closed = true;
         holder.phase = Phase::Idle;
         self.clients -= usize::from(holder.is_client);
-        for purpose in [Use::Message, Use::Answer, Use::Kept] {
+        for purpose in Use::ALL {
             self.replace(id, purpose, None);
         }
         out.push(Decision::Close(id, reason));
--- a/crates/decide/src/budget/model.rs
+++ b/crates/decide/src/budget/model.rs
@@ -18,6 +18,13 @@
     Answer,
     /// Values and prepared statements of a session.
     Kept,
+    /// What a connection to an endpoint remembers of the sessions that it served.
+    Remembered,
+}
+
+impl Use {
+    /// All purposes.
+    pub(super) const ALL: [Self; 4] = [Self::Message, Self::Answer, Self::Kept, Self::Remembered];
 }
 
 /// What a connection does.
@@ -93,6 +100,7 @@
     pub message: Option<Charge>,
     pub answer: Option<Charge>,
     pub kept: Option<Charge>,
+    pub remembered: Option<Charge>,
     pub closed: bool,
 }
 
@@ -106,6 +114,7 @@
             message: None,
             answer: None,
             kept: None,
+            remembered: None,
             closed: false,
         }
     }
@@ -116,6 +125,7 @@
             Use::Message => &mut self.message,
             Use::Answer => &mut self.answer,
             Use::Kept => &mut self.kept,
+            Use::Remembered => &mut self.remembered,
         }
     }
 }
--- a/crates/decide/src/budget/pools.rs
+++ b/crates/decide/src/budget/pools.rs
@@ -33,9 +33,11 @@
     Answers,
     /// Values and prepared statements of sessions.
     Kept,
+    /// What connections to endpoints remember of the sessions that they served.
+    Remembered,
 }
 
-const POOLS: usize = 4;
+const POOLS: usize = 5;
 
 /// The bytes in use of each part.
 #[derive(Debug, Clone, Default)]
@@ -61,7 +63,7 @@
         // A single message and its answer are always served.
         let large = (total / 2).max(MESSAGE_COPIES * LARGE_BYTES);
         let answers = (total / 4).max(ANSWER_COPIES * LARGE_BYTES);
-        let sizes = [total / 8, large, answers, total / 8].map(Some);
+        let sizes = [total / 8, large, answers, total / 8, total / 8].map(Some);
         Self {
             sizes,
             used: [0; POOLS],
@@ -105,6 +107,7 @@
         Use::Message => (Pool::Large, MESSAGE_COPIES * bytes.max(LARGE_BYTES)),
         Use::Answer => (Pool::Answers, ANSWER_COPIES * bytes.next_power_of_two()),
         Use::Kept => (Pool::Kept, bytes),
+        Use::Remembered => (Pool::Remembered, bytes),
     };
     Some(Charge { pool, bytes })
 }
--- a/crates/decide/src/setup/mod.rs
+++ b/crates/decide/src/setup/mod.rs
@@ -13,7 +13,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Applied {
     confirmed: SmallVec<[Setting; 4]>,
-    /// Whether the endpoint refused a change since the last reset, so that `confirmed` may be wrong.
+    /// Whether `confirmed` may be wrong, because the endpoint refused a change since the last reset or what was
+    /// in force was forgotten.
     uncertain: bool,
 }
 
@@ -71,7 +72,19 @@
         self.uncertain |= !accepted;
     }
 
-    /// Whether the endpoint refused a change since the last reset.
+    /// Returns the bytes of the settings that are remembered.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.confirmed.iter().map(Setting::bytes).sum()
+    }
+
+    /// Forgets what is in force. The connection is reset before the next statement outside a transaction.
+    pub fn forget(&mut self) {
+        self.confirmed = SmallVec::new();
+        self.uncertain = true;
+    }
+
+    /// Whether the endpoint refused a change since the last reset, or what is in force was forgotten.
     #[must_use]
     pub fn is_uncertain(&self) -> bool {
         self.uncertain
--- a/crates/decide/tests/budget.rs
+++ b/crates/decide/tests/budget.rs
@@ -169,7 +169,7 @@
             3 => granted += grants(&budget.finish_message(id, bytes / 1024, now)),
             4 => granted += budget.send(id, bytes, now).len(),
             5 => granted += grants(&budget.finish_answer(id)),
-            6 => granted += usize::from(budget.keep(id, bytes)),
+            6 => granted += usize::from(budget.keep(id, Use::Kept, bytes)),
             7 => granted += grants(&budget.tick(now)),
             _ => {
                 granted += grants(&budget.remove(id));
@@ -185,3 +185,25 @@
     assert!(granted > 0);
     assert_eq!((budget.used(), budget.clients()), (0, 0));
 }
+
+/// Load: sessions that prepare large statements and leave. The connections to endpoints that they used went on
+/// holding the texts, which nothing counted, until the process was out of memory.
+#[rstest]
+fn what_connections_remember_of_ended_sessions_is_bounded() {
+    let mut budget = Budget::new(Some(MEMORY), None);
+    let connections: Vec<_> = (0..40).map(|_| budget.attach()).collect();
+    let remembering = connections
+        .iter()
+        .filter(|id| budget.keep(**id, Use::Remembered, 10 * LARGE))
+        .count();
+    let used = budget.used();
+    // Sessions have a part of their own.
+    let client = connect(&mut budget);
+    let kept = budget.keep(client, Use::Kept, LARGE);
+    for id in connections {
+        assert!(budget.keep(id, Use::Remembered, 0));
+    }
+    let kept_bytes = budget.used();
+    budget.remove(client);
+    insta::assert_debug_snapshot!((remembering, used, kept, kept_bytes, budget.used()));
+}
--- a/crates/decide/tests/dialogues.rs
+++ b/crates/decide/tests/dialogues.rs
@@ -168,3 +168,21 @@
     lines.push(format!("then {:?}", apply(&mut applied, &first, false)));
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// A connection that has forgotten what is in force must not run a statement with an earlier session's settings.
+#[test]
+fn a_connection_that_forgot_its_settings_is_reset_before_its_next_use() {
+    let mut applied = Applied::default();
+    let first = [value("a", "SET a 1"), prepared("p", "PREPARE p READ q")];
+    apply(&mut applied, &first, false);
+    let before = applied.bytes();
+    applied.forget();
+    let lines = [
+        format!("{before} bytes, then {}", applied.bytes()),
+        format!("the same session {:?}", apply(&mut applied, &first, false)),
+        format!("and again {:?}", apply(&mut applied, &first, false)),
+    ];
+    applied.forget();
+    let other = apply(&mut applied, &[], false);
+    insta::assert_snapshot!(format!("{}\na session without {other:?}", lines.join("\n")));
+}
--- a/crates/stream/src/budget.rs
+++ b/crates/stream/src/budget.rs
@@ -282,11 +282,22 @@
         state.budget.request(self.id, Use::Message, bytes, now)
     }
 
-    /// Keeps `bytes` for the rest of the session, in place of those before. Returns false if there is
-    /// no room.
+    /// Keeps `bytes` of a session until it ends, in place of those before. Returns false if there is no room.
     #[must_use]
     pub fn keep(&self, bytes: usize) -> bool {
-        self.budget.state.borrow_mut().budget.keep(self.id, bytes)
+        self.keep_for(Use::Kept, bytes)
+    }
+
+    /// Counts `bytes` that a connection to an endpoint remembers, in place of those before. Returns false if
+    /// there is no room.
+    #[must_use]
+    pub fn remember(&self, bytes: usize) -> bool {
+        self.keep_for(Use::Remembered, bytes)
+    }
+
+    fn keep_for(&self, purpose: Use, bytes: usize) -> bool {
+        let mut state = self.budget.state.borrow_mut();
+        state.budget.keep(self.id, purpose, bytes)
     }
 }
 
--- a/crates/types/src/statement.rs
+++ b/crates/types/src/statement.rs
@@ -31,6 +31,15 @@
     Prepared(Name, Name),
 }
 
+impl Setting {
+    /// Returns the bytes of its name and its statement.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let (Self::Value(name, text) | Self::Prepared(name, text)) = self;
+        name.len() + text.len()
+    }
+}
+
 /// A client's statement, with the settings and the transaction that it needs.
 #[derive(Debug, Clone)]
 pub struct Statement {
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -143,6 +143,18 @@
     (0..6).map(set).collect::<Vec<_>>().concat()
 }
 
+/// Statements that are prepared, run once and discarded, under 32 names that differ between sessions.
+fn prepared_once(number: usize) -> Vec<u8> {
+    let text = "x".repeat(LARGE);
+    let once = |turn| {
+        let name = (number * 8 + turn) % 32;
+        format!(
+            "QUERY p{turn} PREPARE s{name} WRITE {text}\r\nQUERY e{turn} EXECUTE s{name} item value\r\nQUERY d{turn} DEALLOC s{name}\r\n"
+        )
+    };
+    (0..8).map(once).collect::<String>().into_bytes()
+}
+
 fn endless(_: usize) -> Vec<u8> {
     vec![b'x'; 8 << 20]
 }
@@ -183,6 +195,7 @@
 #[case::slow_senders(7, line_script(SlowSend, large_write))]
 #[case::slow_readers(8, line_script(SlowRead, reads_ahead))]
 #[case::many_values(9, line_script(Whole, values_kept))]
+#[case::prepared_once(12, line_script(Whole, prepared_once))]
 #[case::silent_connections(10, Crowded::Connections(b""))]
 #[case::half_sent_startups(11, Crowded::Connections(b"STARTUP lat"))]
 fn a_crowd_at_a_host_stays_within_its_limits(#[case] address: u8, #[case] crowded: Crowded) {
