The settings of relayed statements count for the memory of their owner

Test: the second of two statements with 900 KB of values went to the group; it is refused for memory now (the_settings_of_relayed_statements_count_for_the_memory_of_their_owner failed before, timed out).

--- a/crates/peers/src/relay/mod.rs
+++ b/crates/peers/src/relay/mod.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Returns the bytes of its texts: the statement with its label, and the settings that it needs.
+    fn bytes(&self) -> usize {
+        let settings: usize = self.settings.iter().map(Setting::bytes).sum();
+        self.label.len() + self.text.len() + settings
+    }
+
     /// Decodes a statement that arrives at `now`, under a request id of this host.
     fn decode(self, id: RequestId, now: Timestamp) -> Statement {
         Statement {
--- a/crates/peers/src/relay/server.rs
+++ b/crates/peers/src/relay/server.rs
@@ -210,7 +210,7 @@
     lease: Option<Lease>,
     /// The channel for its reply.
     reply: Sender<Reply>,
-    /// The bytes of its text, which are given back with its reply.
+    /// The bytes of its texts, which are given back with its reply.
     _account: Account,
 }
 
@@ -310,7 +310,7 @@
             return;
         }
         let account = self.handlers.budget.attach();
-        if !account.try_reserve(statement.text.len()) {
+        if !account.try_reserve(statement.bytes()) {
             // The other host may have disconnected.
             let _ = reply.send(not_run(NotRun::Memory));
             return;
--- a/crates/peers/tests/relays.rs
+++ b/crates/peers/tests/relays.rs
@@ -14,8 +14,8 @@
 use goldcrest_stream::{accept::ListenerHandle, budget::HostBudget};
 use goldcrest_types::{
     Answer, Class, EndpointIx, Floor, Kind, Lease, Mark, Name, Outcome, Pin, RelayCommand,
-    RelayNotice, Reply, RequestHead, RequestId, Role, SessionCommand, Statement, StoreError,
-    StoreNotice, SuccessionCommand, TxStart, TxState,
+    RelayNotice, Reply, RequestHead, RequestId, Role, SessionCommand, Setting, Statement,
+    StoreError, StoreNotice, SuccessionCommand, TxStart, TxState,
 };
 use rstest::rstest;
 
@@ -56,6 +56,11 @@
 
 impl Fixture {
     async fn start(ip: &str) -> Self {
+        Self::start_limited(ip, None).await
+    }
+
+    /// The same with this memory in bytes at the receiving host.
+    async fn start_limited(ip: &str, memory: Option<u64>) -> Self {
         let address: SocketAddr = format!("{ip}:7440").parse().unwrap();
         let clock = Clock::start();
         let (group, group_commands) = flume::unbounded();
@@ -66,7 +71,7 @@
             }),
             find_table: Rc::new(|_| None),
             allowances: None,
-            budget: HostBudget::start(clock, None, None),
+            budget: HostBudget::start(clock, memory, None),
         };
         let handle = start(address, clock, handlers).await.unwrap();
         let links = start_links(clock);
@@ -87,10 +92,15 @@
 
     /// Relays a statement with request id 5 of the sending host.
     fn run(&self, pin: Option<Pin>) {
+        self.run_with(5, pin, &[]);
+    }
+
+    /// The same with another request id and settings that the statement needs.
+    fn run_with(&self, id: u64, pin: Option<Pin>, settings: &[Setting]) {
         let now = self.clock.now();
         let statement = Statement {
             head: RequestHead {
-                id: RequestId(5),
+                id: RequestId(id),
                 workspace: Name::from("orders"),
                 database: Name::from("orders"),
                 priority: 0,
@@ -107,7 +117,7 @@
             label: Name::from("q5"),
             text: Name::from("WRITE a 1"),
             tx_start: TxStart::ReadWrite,
-            settings: std::iter::empty().collect(),
+            settings: settings.iter().cloned().collect(),
         };
         self.send_command(RelayCommand::Run(Arc::new(statement), pin));
     }
@@ -193,6 +203,24 @@
     drop(fixture);
 }
 
+/// The values of relayed sessions, which nothing counted, took an owner of connections over its memory.
+#[compio::test]
+async fn the_settings_of_relayed_statements_count_for_the_memory_of_their_owner() {
+    let timer = Timer::start().unwrap();
+    let _entered = timer.enter();
+    // Room for one large message at a time.
+    let fixture = Fixture::start_limited("127.0.5.40", Some(16_000_000)).await;
+    let value = |name: &str| Setting::Value(Name::from(name), Name::from("x".repeat(300_000)));
+    let settings = ["a", "b", "c"].map(value);
+    fixture.run_with(5, None, &settings);
+    let (statement, reply) = fixture.next_statement().await;
+    fixture.run_with(6, None, &settings);
+    let refused = fixture.notice().await;
+    reply.send(done(statement.head.id, None)).unwrap();
+    let served = fixture.notice().await;
+    insta::assert_snapshot!(format!("{refused:?}\n{served:?}"));
+}
+
 #[compio::test]
 async fn a_lost_connection_rolls_back_transactions_and_cancels_statements() {
     let timer = Timer::start().unwrap();
