--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// The number of the process, or zero.
+    pub fn process(&self) -> i32 {
+        self.child.as_ref().map_or(0, |child| i32::try_from(child.id()).unwrap_or(0))
+    }
+
     /// Whether the process has ended by itself, and how.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
@@ -147,3 +152,27 @@
         }
     }
 }
+
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
+/// Lets a process run for 18 of each 100 ms, which makes it 5.5 times slower.
+pub fn slow_down(process: i32, time: Duration) {
+    let send = |signal| {
+        if process > 0 {
+            // SAFETY: the call takes two numbers.
+            unsafe { kill(process, signal) };
+        }
+    };
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(18));
+        send(SIGSTOP);
+        std::thread::sleep(Duration::from_millis(82));
+        send(SIGCONT);
+    }
+}
--- a/review/standin-3/large_statements.rs
+++ b/review/standin-3/large_statements.rs
@@ -28,7 +28,7 @@
 
 pub fn play(folder: &Path, trouble: bool) -> bool {
     let layout = Layout { hosts: 6, rules: Rules::plain(8), memory_mb: MEMORY_MB, one_region: true };
-    let crowd = Crowd { count: SINGLE + TRANSACTIONS, consumer: send_large, always: false };
+    let crowd = Crowd { count: SINGLE + TRANSACTIONS, consumer: send_large, always: false, slow_hosts: false };
     recovery::play(folder, layout, trouble, &crowd)
 }
 
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -35,6 +35,7 @@
         "restarted-hosts" => restarted_hosts::play(folder, trouble),
         "unlisted-replica" => unlisted_replica::play(folder, trouble),
         "large-statements" => large_statements::play(folder, trouble),
+        "slow-hosts" => leaving_consumers::play_slow(folder, trouble),
         "leaving-consumers" => leaving_consumers::play(folder, trouble),
         other => give_up(&format!("no drill {other}")),
     };
--- a/review/standin-3/recovery.rs
+++ b/review/standin-3/recovery.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     client::{self, Outcome},
+    host::slow_down,
     record::Record,
     scene::{Layout, Scene},
 };
@@ -24,6 +25,8 @@
 /// How long after their start the consumers do it, and for how long.
 const SETTLED: Duration = Duration::from_secs(4);
 const CROWD: Duration = Duration::from_secs(6);
+/// How long a host is slow, as the site file has it at most.
+const SLOW_TIME: Duration = Duration::from_millis(6_400);
 const RECOVERY_S: f64 = 12.0;
 const AFTER: Duration = Duration::from_secs(75);
 
@@ -36,6 +39,8 @@
     pub consumer: Consumer,
     /// Whether they come for the whole drill, and not only for some seconds after the final fault.
     pub always: bool,
+    /// Whether the hosts turn slow, one after the other, after the final fault.
+    pub slow_hosts: bool,
 }
 
 /// Plays the drill with this many consumers. Returns whether RECOVER held.
@@ -69,6 +74,9 @@
         thread::sleep(DOWN);
     }
     let back = scene.record.seconds();
+    if trouble && crowd.slow_hosts {
+        threads.push(slow_in_turn(&scene, end));
+    }
     if trouble && !crowd.always {
         thread::sleep(SETTLED);
         let until = Instant::now() + CROWD;
@@ -106,6 +114,22 @@
     before < 0.25 || after >= 0.25
 }
 
+/// Makes one host slow after the other until `end`.
+fn slow_in_turn(scene: &Scene, end: Instant) -> JoinHandle<()> {
+    let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.plan.name.clone(), host.process())).collect();
+    let record = Arc::clone(&scene.record);
+    thread::spawn(move || {
+        thread::sleep(SETTLED);
+        for (name, process) in hosts.iter().cycle() {
+            if Instant::now() + SLOW_TIME > end {
+                return;
+            }
+            record.say(&format!("host {name} is slow"));
+            slow_down(*process, SLOW_TIME);
+        }
+    })
+}
+
 fn start_crowd(crowd: &Crowd, scene: &Scene, fronts: &[SocketAddr], until: Instant, threads: &mut Vec<JoinHandle<()>>) {
     scene.record.say(&format!("{} consumers of another kind begin", crowd.count));
     let consumer = crowd.consumer;
