Review scripts: ordinary operations come whether or not earlier ones are served

Cause: consumers that waited for their answers sent less once nothing was served, which hid how much was refused.

--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -80,7 +80,8 @@
     format!("{:016x}", random::number())
 }
 
-/// Runs operations against the hosts until `end`, about `rate` a second.
+/// Runs operations against the hosts until `end`, `rate` a second on average. They come at random times, whether or
+/// not the earlier ones are served.
 pub fn run(
     hosts: &[SocketAddr],
     databases: &[&str],
@@ -91,9 +92,13 @@
 ) {
     let mut session: Option<(Session, usize)> = None;
     let database = random::below(databases.len() as u64) as usize;
-    while Instant::now() < end {
-        let pause = -(1.0 - random::unit()).ln() / rate;
-        std::thread::sleep(Duration::from_secs_f64(pause.min(2.0)));
+    let mut next = Instant::now();
+    loop {
+        next += Duration::from_secs_f64(-(1.0 - random::unit()).ln() / rate);
+        if next.max(Instant::now()) >= end {
+            return;
+        }
+        std::thread::sleep(next.saturating_duration_since(Instant::now()));
         let writes = databases[database] != "reads" && random::below(100) < 35;
         let at = record.seconds();
         let began = Instant::now();
--- a/review/standin-3/recovery.rs
+++ b/review/standin-3/recovery.rs
@@ -17,14 +17,16 @@
 };
 
 /// Ordinary operations of each client a second, and the clients.
-const RATE: f64 = 3.0;
-const CLIENTS: usize = 50;
+const RATE: f64 = 0.5;
+const CLIENTS: usize = 300;
 
 const BEFORE: Duration = Duration::from_secs(8);
 const DOWN: Duration = Duration::from_millis(1_300);
 /// How long after their start the consumers do it, and for how long.
 const SETTLED: Duration = Duration::from_secs(4);
 const CROWD: Duration = Duration::from_secs(6);
+/// How long after their start the hosts begin to turn slow.
+const SLOW_AFTER: Duration = Duration::from_secs(1);
 /// How long a host is slow, as the site file has it at most.
 const SLOW_TIME: Duration = Duration::from_millis(6_400);
 const RECOVERY_S: f64 = 12.0;
@@ -119,7 +121,7 @@
     let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.plan.name.clone(), host.process())).collect();
     let record = Arc::clone(&scene.record);
     thread::spawn(move || {
-        thread::sleep(SETTLED);
+        thread::sleep(SLOW_AFTER);
         for (name, process) in hosts.iter().cycle() {
             if Instant::now() + SLOW_TIME > end {
                 return;
