--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,7 +1,8 @@
 //! Stand-ins of consumers, servers and the platform, and the drills that use them.
 //!
 //! `standin DRILL FOLDER` starts the product's processes on loopback addresses, plays the drill, writes
-//! FOLDER/record.txt, and ends with 0 if the rule held, 1 if it was broken, and 2 if the drill could not run.
+//! FOLDER/record.txt, and ends with 0 if the rule held, 1 if it was broken, and another code if the drill could not
+//! run.
 
 mod client;
 mod group;
@@ -20,10 +21,9 @@
 
 use std::{env, path::Path, process};
 
-/// Ends the drill: it could not run.
+/// Ends the drill, as it could not run. The processes that it started end, too.
 pub fn give_up(why: &str) -> ! {
-    eprintln!("the drill can't run: {why}");
-    process::exit(2);
+    panic!("the drill can't run: {why}");
 }
 
 fn main() {
