--- a/review/standin-3/writers.rs
+++ b/review/standin-3/writers.rs
@@ -15,7 +15,7 @@
     scene::Scene,
 };
 
-const WRITERS: usize = 12;
+const WRITERS: usize = 24;
 
 pub struct Writers {
     threads: Vec<JoinHandle<()>>,
