--- a/review/standin-3/group.rs
+++ b/review/standin-3/group.rs
@@ -192,6 +192,13 @@
         (self.servers[log.leader].id.clone(), writes.collect())
     }
 
+    /// Starts a server that crashed again, with its log: as a replica if another one was promoted meanwhile.
+    pub fn restart(&self, index: usize) {
+        let mut log = self.settled();
+        log.copies[index].down = false;
+        log.copies[index].paused = 0;
+    }
+
     /// What each server holds.
     pub fn held(&self) -> Vec<usize> {
         self.settled().copies.iter().map(|copy| copy.held).collect()
--- a/review/standin-3/recovery.rs
+++ b/review/standin-3/recovery.rs
@@ -77,7 +77,7 @@
     }
     let back = scene.record.seconds();
     if trouble && crowd.slow_hosts {
-        threads.push(slow_in_turn(&scene, end));
+        threads.push(slow_in_turn(&scene));
     }
     if trouble && !crowd.always {
         thread::sleep(SETTLED);
@@ -116,19 +116,17 @@
     before < 0.25 || after >= 0.25
 }
 
-/// Makes one host slow after the other until `end`.
-fn slow_in_turn(scene: &Scene, end: Instant) -> JoinHandle<()> {
+/// Makes one host slow after the other, each of them twice. Then no host is slow any more.
+fn slow_in_turn(scene: &Scene) -> JoinHandle<()> {
     let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.plan.name.clone(), host.process())).collect();
     let record = Arc::clone(&scene.record);
     thread::spawn(move || {
         thread::sleep(SLOW_AFTER);
-        for (name, process) in hosts.iter().cycle() {
-            if Instant::now() + SLOW_TIME > end {
-                return;
-            }
+        for (name, process) in hosts.iter().chain(&hosts) {
             record.say(&format!("host {name} is slow"));
             slow_down(*process, SLOW_TIME);
         }
+        record.say("no host is slow any more");
     })
 }
 
--- a/review/standin-3/restarted_hosts.rs
+++ b/review/standin-3/restarted_hosts.rs
@@ -18,10 +18,14 @@
 /// How long after the other replica stopped receiving the first one is lost.
 const LOST_AFTER: Duration = Duration::from_millis(300);
 /// How long the store lists a server that says nothing, and some time to notice that it does not any more.
-const LISTED: Duration = Duration::from_millis(4_000);
+const LISTED: Duration = Duration::from_millis(3_900);
 const DOWN: Duration = Duration::from_millis(500);
-/// How long after the hosts' restart the primary crashes. The replica has received nothing for 6.3 s then.
-const CRASH_AFTER: Duration = Duration::from_millis(1_500);
+/// How long after the hosts' restart the primary crashes. The replica has received nothing for 5.9 s then.
+const CRASH_AFTER: Duration = Duration::from_millis(1_200);
+/// How much longer the replica receives nothing: for 6.4 s in all. The site files have 6.5 s at most.
+const DEAF_AFTER: Duration = Duration::from_millis(500);
+/// How long the primary is down, as the site file has it at most.
+const CRASHED: Duration = Duration::from_secs(7);
 const AFTER: Duration = Duration::from_secs(14);
 
 pub fn play(folder: &Path, trouble: bool) -> bool {
@@ -49,6 +53,12 @@
         thread::sleep(CRASH_AFTER);
         scene.group.crash(0);
         scene.record.say(&format!("server i-hearth-0, the primary, crashes; the servers hold {:?}", scene.group.held()));
+        thread::sleep(DEAF_AFTER);
+        scene.group.deaf[2].store(false, Ordering::Relaxed);
+        scene.record.say("server i-hearth-2 could receive again");
+        thread::sleep(CRASHED - DEAF_AFTER);
+        scene.group.restart(0);
+        scene.record.say("server i-hearth-0 is back");
     }
     writers.check(&scene)
 }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -145,7 +145,10 @@
             version == row.number("Ver")
         });
         if !held {
-            return (412, self.page(&state, Vec::new()));
+            let keys = call.list("ExpectedRev").iter().map(|row| (row.text("Table"), row.text("Key")));
+            let known = keys.filter_map(|key| state.rows.get_key_value(&key));
+            let rows = known.filter(|(_, row)| !row.deleted).map(encode).collect();
+            return (412, self.page(&state, rows));
         }
         state.version += 1;
         let version = state.version;
--- a/review/standin-3/unlisted_replica.rs
+++ b/review/standin-3/unlisted_replica.rs
@@ -18,6 +18,8 @@
 const CUT: Duration = Duration::from_secs(5);
 /// How long after the cut began the primary crashes.
 const CRASH_AFTER: Duration = Duration::from_millis(3_900);
+/// How long it is down, as the site file has it at most.
+const CRASHED: Duration = Duration::from_secs(7);
 const AFTER: Duration = Duration::from_secs(20);
 
 pub fn play(folder: &Path, trouble: bool) -> bool {
@@ -42,6 +44,9 @@
         thread::sleep(CRASH_AFTER);
         scene.group.crash(0);
         scene.record.say(&format!("server i-hearth-0, the primary, crashes; the servers hold {:?} commits", scene.group.held()));
+        thread::sleep(CRASHED);
+        scene.group.restart(0);
+        scene.record.say("server i-hearth-0 is back");
     }
     writers.check(&scene)
 }
